--- /dev/null
+++ b/qhconfig/config.go
@@ -0,0 +1,76 @@
+// Package qhconfig has the configuration that every node holds: its model, its
+// check, its digest, the difference between two versions and the snapshot that
+// a node reads on the path of a call.
+package qhconfig
+
+import (
+	"time"
+
+	"quetzalhaven.dev/qhid"
+)
+
+// Config is one whole configuration.
+type Config struct {
+	// Services are ordered by name, each name once.
+	Services []Service `json:"services"`
+	// Routes are ordered by name, each name once.
+	Routes []Route `json:"routes"`
+}
+
+// Service is a set of targets that answer the same calls.
+type Service struct {
+	Name qhid.Service `json:"name"`
+	// Slots bounds the calls that one target runs at a time; 0 leaves it to
+	// what the target announces.
+	Slots int `json:"slots,omitempty"`
+	// Queue bounds the calls that wait for a slot of one target.
+	Queue int `json:"queue,omitempty"`
+	// Connections bounds the open connections to one target.
+	Connections int `json:"connections,omitempty"`
+	// Retired targets get no new calls. Ordered, each once.
+	Retired []qhid.Target `json:"retired,omitempty"`
+}
+
+// Route says which calls go to which services.
+type Route struct {
+	Name qhid.Route `json:"name"`
+	// Host is matched without its port and without regard to case; empty
+	// matches every host.
+	Host string `json:"host,omitempty"`
+	// Prefix begins with a slash and matches whole path segments.
+	Prefix string `json:"prefix"`
+	// Methods are in upper case and ordered; none matches every method.
+	Methods []string `json:"methods,omitempty"`
+	// Shares add up to 100 and name existing services, ordered by service.
+	Shares []Share `json:"shares"`
+	// Repeat says which calls of the route may be repeated.
+	Repeat Repeat `json:"repeat,omitempty"`
+	// Timeout bounds a call that brings no deadline, and every deadline.
+	Timeout Duration `json:"timeout,omitempty"`
+	// Silence bounds the wait for the first byte of an answer.
+	Silence Duration `json:"silence,omitempty"`
+	// Body bounds the size of a request's body.
+	Body qhid.Bytes `json:"body,omitempty"`
+}
+
+// Share is the part of a route's calls that goes to a service.
+type Share struct {
+	Service qhid.Service `json:"service"`
+	Percent qhid.Percent `json:"percent"`
+}
+
+// Repeat says when a call may be sent again.
+type Repeat string
+
+// The ways to repeat a call.
+const (
+	// RepeatNever sends a call again only when it is proved not to have run.
+	RepeatNever Repeat = ""
+	// RepeatSafe marks calls that may run more than once.
+	RepeatSafe Repeat = "safe"
+	// RepeatKeyed calls carry an Idempotency-Key, and run at most once a key.
+	RepeatKeyed Repeat = "keyed"
+)
+
+// Duration is a time.Duration that reads and writes as "1.5s" in JSON.
+type Duration time.Duration
--- /dev/null
+++ b/qhheader/qhheader.go
@@ -0,0 +1,45 @@
+// Package qhheader names the HTTP headers of calls.
+package qhheader
+
+// Headers that callers and targets see.
+const (
+	// RequestID carries the id of a call. A caller may set it.
+	RequestID = "X-Request-Id"
+	// Timeout is the time left for a call in seconds, as in "1.5". It never
+	// grows on the way.
+	Timeout = "Request-Timeout"
+	// IdempotencyKey is the key of a call on a route that repeats by key.
+	IdempotencyKey = "Idempotency-Key"
+	// RetryAfter tells when to come back, in whole seconds.
+	RetryAfter = "Retry-After"
+	// Outcome tells what is known of a call that the mesh answers itself.
+	Outcome = "Qh-Outcome"
+	// Reason is the short word for why the mesh answered itself.
+	Reason = "Qh-Reason"
+)
+
+// The values of Outcome.
+const (
+	// NotRun is set only where the call was never given to a target.
+	NotRun = "not-run"
+	// Unknown is set where the call may have run.
+	Unknown = "unknown"
+)
+
+// Internal is the prefix of headers between nodes. They are dropped from what
+// callers send.
+const Internal = "Qh-Node-"
+
+// Headers between nodes.
+const (
+	// NodeFrom is the id of the node that sends a call on.
+	NodeFrom = Internal + "From"
+	// NodeTarget is the id of the target that the sender chose.
+	NodeTarget = Internal + "Target"
+	// NodeRoute is the name of the route that matched.
+	NodeRoute = Internal + "Route"
+	// NodeVersion is the configuration version that the sender decided on.
+	NodeVersion = Internal + "Version"
+	// NodeLoad is how many calls the target has running and queued.
+	NodeLoad = Internal + "Load"
+)
--- /dev/null
+++ b/qhsetting/node.go
@@ -0,0 +1,81 @@
+// Package qhsetting reads the settings of the programs: JSON with comments,
+// with unknown keys and bad values refused by file, line, key and remedy.
+package qhsetting
+
+import (
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qhid"
+)
+
+// Node is the settings of one qhnode.
+type Node struct {
+	ID   qhid.Node `json:"id" validate:"required"`
+	Zone qhid.Zone `json:"zone" validate:"required"`
+	// Platform is the base URL of the platform's object API.
+	Platform string `json:"platform" validate:"required,url"`
+	// Seeds are peer addresses to ask while the platform is out.
+	Seeds  []qhid.Address `json:"seeds" validate:"dive,hostname_port"`
+	Listen Listen         `json:"listen" validate:"required"`
+	Spread Spread         `json:"spread"`
+	Calls  Calls          `json:"calls"`
+	Log    Log            `json:"log"`
+}
+
+// Listen is where a node listens. Every address names its host: none is
+// bound on all addresses unless the settings say so.
+type Listen struct {
+	// Callers is for the calls of callers.
+	Callers qhid.Address `json:"callers" validate:"required,hostname_port"`
+	// Calls is for calls that other nodes send on.
+	Calls qhid.Address `json:"calls" validate:"required,hostname_port"`
+	// Peers is for messages of other nodes.
+	Peers qhid.Address `json:"peers" validate:"required,hostname_port"`
+	// Targets is where the targets of this VM announce themselves.
+	Targets qhid.Address `json:"targets" validate:"required,hostname_port"`
+	// Operators is for dump, metrics, status and explain.
+	Operators qhid.Address `json:"operators" validate:"required,hostname_port"`
+}
+
+// Spread is how configuration and membership are passed on. Small values of
+// batch favour convergence time, large ones control bytes.
+type Spread struct {
+	// Fanout bounds the children of a node in the tree.
+	Fanout int `json:"fanout" validate:"min=1,max=64"`
+	// Relays is the number of relay slots of an availability zone.
+	Relays int `json:"relays" validate:"min=1,max=8"`
+	// Batch is how long announcements wait for others to share a message.
+	Batch qhconfig.Duration `json:"batch"`
+	// Heartbeat is the period of messages on a quiet link.
+	Heartbeat qhconfig.Duration `json:"heartbeat"`
+	// Silence is after how long without a message a link counts as dead.
+	Silence qhconfig.Duration `json:"silence"`
+	// Exchange is the period of the comparison with a random peer.
+	Exchange qhconfig.Duration `json:"exchange"`
+	// Lease is how long a relay slot is held without renewal.
+	Lease qhconfig.Duration `json:"lease"`
+}
+
+// Calls is the limits on the path of a call.
+type Calls struct {
+	// Timeout bounds a call that brings no deadline on a route without one.
+	Timeout qhconfig.Duration `json:"timeout"`
+	// Silence bounds the wait for the first byte of an answer.
+	Silence qhconfig.Duration `json:"silence"`
+	// Headers bounds the size of a request's headers.
+	Headers qhid.Bytes `json:"headers" validate:"min=1024"`
+	// Body bounds the size of a request's body.
+	Body qhid.Bytes `json:"body" validate:"min=1"`
+	// Grace bounds a graceful stop.
+	Grace qhconfig.Duration `json:"grace"`
+	// Budget is the share of calls that may be repeats.
+	Budget qhid.Percent `json:"budget" validate:"min=0,max=100"`
+	// Decisions is how many recent decisions are kept for explain.
+	Decisions int `json:"decisions" validate:"min=1,max=1000000"`
+}
+
+// Log is how a process writes its log.
+type Log struct {
+	Level string `json:"level" validate:"oneof=debug info warn error"`
+	// Format is json, console, or auto for console on a terminal.
+	Format string `json:"format" validate:"oneof=json console auto"`
+}
