--- /dev/null
+++ b/qhconfig/decode.go
@@ -0,0 +1,35 @@
+package qhconfig
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+
+	"quetzalhaven.dev/qherr"
+)
+
+// Decode reads one JSON value and refuses unknown fields and anything after
+// the value. Its errors are of kind BadInput.
+func Decode[T any](data []byte) (T, error) {
+	var value T
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&value); err != nil {
+		var zero T
+		return zero, undecodable(err)
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		var zero T
+		return zero, qherr.New(qherr.BadInput, nil, "remove what follows the value",
+			"there is more than one value, from byte %d on", decoder.InputOffset())
+	}
+	return value, nil
+}
+
+func undecodable(err error) error {
+	if qherr.KindOf(err) != qherr.Internal {
+		return err
+	}
+	return qherr.New(qherr.BadInput, err, "correct or remove the part that it names", "the JSON can't be read")
+}
--- /dev/null
+++ b/qhconfig/diff.go
@@ -0,0 +1,111 @@
+package qhconfig
+
+import (
+	"cmp"
+	"slices"
+
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhid"
+)
+
+// Diff is what turns one version into the next.
+type Diff struct {
+	// Base is the version that the diff applies to.
+	Base qhid.Version `json:"base"`
+	// Next is the version of the result.
+	Next qhid.Version `json:"next"`
+	// Digest is that of the result.
+	Digest qhid.Digest `json:"digest"`
+	// Services were added or changed. Ordered by name.
+	Services []Service `json:"services,omitempty"`
+	// Routes were added or changed. Ordered by name.
+	Routes []Route `json:"routes,omitempty"`
+	// NoServices were removed. Ordered.
+	NoServices []qhid.Service `json:"noservices,omitempty"`
+	// NoRoutes were removed. Ordered.
+	NoRoutes []qhid.Route `json:"noroutes,omitempty"`
+}
+
+// Empty tells whether the diff changes nothing.
+func (d Diff) Empty() bool {
+	return len(d.Services)+len(d.Routes)+len(d.NoServices)+len(d.NoRoutes) == 0
+}
+
+// Compare returns what turns base into next. Both are in canonical order. The
+// versions of the diff are left to the caller.
+func Compare(base, next Config) Diff {
+	diff := Diff{Digest: next.Digest()}
+	diff.Services, diff.NoServices = compare(base.Services, next.Services,
+		func(s *Service) qhid.Service { return s.Name }, (*Service).Equal)
+	diff.Routes, diff.NoRoutes = compare(base.Routes, next.Routes,
+		func(r *Route) qhid.Route { return r.Name }, (*Route).Equal)
+	return diff
+}
+
+// compare walks two ordered lists side by side.
+func compare[T any, N cmp.Ordered](base, next []T, name func(*T) N, equal func(a, b *T) bool) (changed []T, gone []N) {
+	old := 0
+	for i := range next {
+		for old < len(base) && name(&base[old]) < name(&next[i]) {
+			gone = append(gone, name(&base[old]))
+			old++
+		}
+		if old == len(base) || name(&base[old]) != name(&next[i]) {
+			changed = append(changed, next[i])
+			continue
+		}
+		if !equal(&base[old], &next[i]) {
+			changed = append(changed, next[i])
+		}
+		old++
+	}
+	for ; old < len(base); old++ {
+		gone = append(gone, name(&base[old]))
+	}
+	return changed, gone
+}
+
+// Apply returns the configuration that the diff makes of base, or an error of
+// kind Conflict where the result is not the one that the diff was made for.
+// base is not changed.
+func (d Diff) Apply(base Config) (Config, error) {
+	next := d.Merge(base)
+	if digest := next.Digest(); digest != d.Digest {
+		return Config{}, d.mismatch(digest)
+	}
+	return next, nil
+}
+
+// mismatch returns the error of a diff whose result has another digest.
+func (d Diff) mismatch(digest qhid.Digest) error {
+	return qherr.New(qherr.Conflict, nil, "ask for the whole version",
+		"the diff from version %d to %d gives digest %s, not %s", d.Base, d.Next, digest, d.Digest)
+}
+
+// Merge returns base with the diff's changes, whatever its digest. base is not
+// changed.
+func (d Diff) Merge(base Config) Config {
+	return Config{
+		Services: merge(base.Services, d.Services, d.NoServices, func(s *Service) qhid.Service { return s.Name }),
+		Routes:   merge(base.Routes, d.Routes, d.NoRoutes, func(r *Route) qhid.Route { return r.Name }),
+	}
+}
+
+// merge returns base with the changed entries put in and the others taken out.
+func merge[T any, N cmp.Ordered](base, changed []T, gone []N, name func(*T) N) []T {
+	next := make([]T, 0, len(base)+len(changed))
+	put := 0
+	for i := range base {
+		for put < len(changed) && name(&changed[put]) < name(&base[i]) {
+			next = append(next, changed[put])
+			put++
+		}
+		if put < len(changed) && name(&changed[put]) == name(&base[i]) {
+			continue // the changed entry comes in its place
+		}
+		if _, found := slices.BinarySearch(gone, name(&base[i])); !found {
+			next = append(next, base[i])
+		}
+	}
+	return append(next, changed[put:]...)
+}
--- /dev/null
+++ b/qhconfig/limit.go
@@ -0,0 +1,29 @@
+package qhconfig
+
+import (
+	"time"
+
+	"quetzalhaven.dev/qhid"
+)
+
+// The limits of one configuration. They keep every entry far below the largest
+// value that the platform holds.
+const (
+	MaxServices    = 20_000
+	MaxRoutes      = 60_000
+	MaxName        = 128
+	MaxHost        = 253
+	MaxPrefix      = 1024
+	MaxMethods     = 16
+	MaxShares      = 64
+	MaxRetired     = 512
+	MaxSlots       = 100_000
+	MaxQueue       = 1_000_000
+	MaxConnections = 1_000_000
+	// MaxTimeout bounds the timeout and the silence of a route.
+	MaxTimeout = Duration(time.Hour)
+	// MaxBody bounds the body of a route's requests.
+	MaxBody qhid.Bytes = 1 << 30
+	// WholeShare is what the shares of a route add up to.
+	WholeShare qhid.Percent = 100
+)
--- /dev/null
+++ b/qhconfig/order.go
@@ -0,0 +1,54 @@
+package qhconfig
+
+import (
+	"cmp"
+	"slices"
+
+	"quetzalhaven.dev/qhid"
+)
+
+// Ordered returns the configuration in the canonical order that Check asks
+// for. c is not changed.
+func (c Config) Ordered() Config {
+	services := slices.Clone(c.Services)
+	for i := range services {
+		services[i].Retired = sorted(services[i].Retired)
+	}
+	routes := slices.Clone(c.Routes)
+	for i := range routes {
+		routes[i].Methods = sorted(routes[i].Methods)
+		routes[i].Shares = slices.Clone(routes[i].Shares)
+		slices.SortFunc(routes[i].Shares, func(a, b Share) int { return cmp.Compare(a.Service, b.Service) })
+	}
+	slices.SortFunc(services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
+	return Config{Services: services, Routes: routes}
+}
+
+func sorted[T cmp.Ordered](values []T) []T {
+	clone := slices.Clone(values)
+	slices.Sort(clone)
+	return clone
+}
+
+// FindService returns the service of the name, or nil. c is in canonical order.
+func (c Config) FindService(name qhid.Service) *Service {
+	i, found := slices.BinarySearchFunc(c.Services, name, func(s Service, name qhid.Service) int {
+		return cmp.Compare(s.Name, name)
+	})
+	if !found {
+		return nil
+	}
+	return &c.Services[i]
+}
+
+// FindRoute returns the route of the name, or nil. c is in canonical order.
+func (c Config) FindRoute(name qhid.Route) *Route {
+	i, found := slices.BinarySearchFunc(c.Routes, name, func(r Route, name qhid.Route) int {
+		return cmp.Compare(r.Name, name)
+	})
+	if !found {
+		return nil
+	}
+	return &c.Routes[i]
+}
