qhhold: Prove that crossed offers never move a node back

The check of a configuration has a golden line for each way to be wrong, so that every refusal names place, value and remedy. qhsample makes the configurations that tests and measurements of several packages use.

--- /dev/null
+++ b/qhconfig/check_test.go
@@ -0,0 +1,134 @@
+package qhconfig_test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhsample"
+)
+
+// wrong breaks a configuration of two services and routes in one way each.
+var wrong = []struct {
+	name string
+	do   func(c *qhconfig.Config)
+}{
+	{"absent service", func(c *qhconfig.Config) { c.Routes[0].Shares[0].Service = "urn" }},
+	{"shares below the whole", func(c *qhconfig.Config) { c.Routes[0].Shares[0].Percent = 90 }},
+	{"share out of bounds", func(c *qhconfig.Config) {
+		c.Routes[0].Shares = []qhconfig.Share{{Service: "service-00000", Percent: 110}, {Service: "service-00001", Percent: -10}}
+	}},
+	{"no shares", func(c *qhconfig.Config) { c.Routes[0].Shares = nil }},
+	{"share twice", func(c *qhconfig.Config) {
+		c.Routes[0].Shares = []qhconfig.Share{{Service: "service-00000", Percent: 50}, {Service: "service-00000", Percent: 50}}
+	}},
+	{"service twice", func(c *qhconfig.Config) {
+		c.Services[1].Name = c.Services[0].Name
+		c.Routes[1].Shares = c.Routes[0].Shares
+	}},
+	{"disorder", func(c *qhconfig.Config) { c.Services[0], c.Services[1] = c.Services[1], c.Services[0] }},
+	{"unknown repeat", func(c *qhconfig.Config) { c.Routes[0].Repeat = "often" }},
+	{"prefix without slash", func(c *qhconfig.Config) { c.Routes[0].Prefix = "urns" }},
+	{"prefix with dots", func(c *qhconfig.Config) { c.Routes[0].Prefix = "/urns/../deposits" }},
+	{"lower case method", func(c *qhconfig.Config) { c.Routes[0].Methods = []string{"get"} }},
+	{"host with port", func(c *qhconfig.Config) { c.Routes[0].Host = "booking.example:80" }},
+	{"overlap", func(c *qhconfig.Config) { c.Routes[1].Prefix = c.Routes[0].Prefix; c.Routes[1].Methods = nil }},
+	{"long timeout", func(c *qhconfig.Config) { c.Routes[0].Timeout = 2 * qhconfig.MaxTimeout }},
+	{"silence above timeout", func(c *qhconfig.Config) { c.Routes[0].Silence = c.Routes[0].Timeout + 1 }},
+	{"large body", func(c *qhconfig.Config) { c.Routes[0].Body = qhconfig.MaxBody + 1 }},
+	{"negative slots", func(c *qhconfig.Config) { c.Services[0].Slots = -1 }},
+	{"bad name", func(c *qhconfig.Config) { c.Services[0].Name = "-urn/" }},
+	{"retired twice", func(c *qhconfig.Config) { c.Services[0].Retired = []qhid.Target{"a1", "a1"} }},
+	{"too many services", func(c *qhconfig.Config) { c.Services = make([]qhconfig.Service, qhconfig.MaxServices+1) }},
+	{"several problems", func(c *qhconfig.Config) { c.Routes[0].Prefix = ""; c.Routes[1].Repeat = "often" }},
+}
+
+var _ = Describe("Check", func() {
+	It("takes a good configuration", func() {
+		Expect(qhsample.Sized(50).Check()).To(Succeed())
+		Expect(qhconfig.Config{}.Check()).To(Succeed())
+	})
+
+	It("names place, value and remedy of every problem", func() {
+		var golden strings.Builder
+		for _, c := range wrong {
+			config := qhsample.Sized(2)
+			c.do(&config)
+			err := config.Check()
+			Expect(qherr.KindOf(err)).To(Equal(qherr.Refused), c.name)
+			golden.WriteString(c.name + ": " + err.Error() + "\n")
+		}
+		expectGolden("check.golden", golden.String())
+	})
+})
+
+var _ = Describe("Equal", func() {
+	It("regards every field", func() {
+		expectEveryField(qhconfig.Service{}, (*qhconfig.Service).Equal)
+		expectEveryField(qhconfig.Route{}, (*qhconfig.Route).Equal)
+	})
+})
+
+// expectEveryField sets one field after the other and expects a difference.
+func expectEveryField[T any](zero T, equal func(a, b *T) bool) {
+	kind := reflect.TypeFor[T]()
+	for i := range kind.NumField() {
+		changed := zero
+		field := reflect.ValueOf(&changed).Elem().Field(i)
+		switch field.Kind() {
+		case reflect.String:
+			field.SetString("x")
+		case reflect.Int, reflect.Int64:
+			field.SetInt(1)
+		case reflect.Slice:
+			field.Set(reflect.MakeSlice(field.Type(), 1, 1))
+		default:
+			Fail("no value for " + kind.Field(i).Name)
+		}
+		Expect(equal(&zero, &changed)).To(BeFalse(), kind.Field(i).Name)
+		Expect(equal(&changed, &changed)).To(BeTrue())
+	}
+}
+
+var _ = Describe("Decode", func() {
+	DescribeTable("refuses", func(text string) {
+		_, err := qhconfig.Decode[qhconfig.Config]([]byte(text))
+		Expect(qherr.KindOf(err)).To(Equal(qherr.BadInput))
+		Expect(err.Error()).NotTo(ContainSubstring("\n"))
+	},
+		Entry("an unknown field", `{"services":[],"urns":1}`),
+		Entry("two values", `{} {}`),
+		Entry("half a value", `{"services":[`),
+		Entry("a duration without unit", `{"routes":[{"timeout":5}]}`),
+		Entry("a duration that is none", `{"routes":[{"timeout":"soon"}]}`),
+	)
+
+	It("reads what was written", func() {
+		config := qhsample.Sized(4)
+		data, err := json.Marshal(config)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(qhconfig.Decode[qhconfig.Config](data)).To(Equal(config))
+	})
+})
+
+// expectGolden compares text with a file of testdata, and writes the file
+// where QH_GOLDEN is set.
+func expectGolden(name, text string) {
+	GinkgoHelper()
+	path := filepath.Join("testdata", name)
+	if os.Getenv("QH_GOLDEN") != "" {
+		Expect(os.MkdirAll("testdata", 0o755)).To(Succeed())
+		Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	}
+	want, err := os.ReadFile(path)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(text).To(Equal(string(want)))
+}
--- /dev/null
+++ b/qhhold/holder_test.go
@@ -0,0 +1,202 @@
+package qhhold_test
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhgroup"
+	"quetzalhaven.dev/qhhold"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhsample"
+)
+
+// chain draws versions 1 to n of which some are bad; version v is at v-1.
+func chain(t *rapid.T, n int) []qhconfig.Config {
+	configs := make([]qhconfig.Config, n)
+	for i := range configs {
+		configs[i] = qhsample.Draw(t, "config")
+		if rapid.IntRange(0, 4).Draw(t, "bad") == 0 {
+			configs[i].Routes = append(configs[i].Routes, qhconfig.Route{Name: "zzz", Prefix: "/zzz",
+				Shares: []qhconfig.Share{{Service: "absent", Percent: 100}}})
+		}
+	}
+	return configs
+}
+
+// offer sends a version whole or as a diff, sometimes cut or with a wrong base.
+func offer(t *rapid.T, holder *qhhold.Holder, configs []qhconfig.Config) {
+	version := rapid.IntRange(1, len(configs)).Draw(t, "version")
+	config := configs[version-1]
+	if rapid.Bool().Draw(t, "whole") {
+		digest := config.Digest()
+		if rapid.IntRange(0, 5).Draw(t, "cut") == 0 && len(config.Services) > 1 {
+			config.Services = config.Services[1:]
+		}
+		_, _ = holder.Offer(qhid.Version(version), config, digest)
+		return
+	}
+	base := rapid.IntRange(0, len(configs)).Draw(t, "base")
+	var from qhconfig.Config
+	if base > 0 {
+		from = configs[base-1]
+	}
+	diff := qhconfig.Compare(from, config)
+	diff.Base, diff.Next = qhid.Version(base), qhid.Version(version)
+	_, _ = holder.OfferDiff(diff)
+}
+
+func TestHolderNeverMovesBackAndHoldsWholeVersions(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		configs := chain(t, rapid.IntRange(1, 6).Draw(t, "versions"))
+		holder := qhhold.New(qhhold.Options{Node: "a"})
+		var last qhid.Version
+		for range rapid.IntRange(1, 30).Draw(t, "offers") {
+			offer(t, holder, configs)
+			snapshot := holder.Current()
+			if snapshot == nil {
+				continue
+			}
+			if snapshot.Version < last {
+				t.Fatalf("moved back from %d to %d", last, snapshot.Version)
+			}
+			last = snapshot.Version
+			if snapshot.Config.Digest() != configs[last-1].Digest() || snapshot.Digest != configs[last-1].Digest() {
+				t.Fatalf("holds something else than version %d", last)
+			}
+			if err := snapshot.Config.Check(); err != nil {
+				t.Fatalf("holds a bad version: %v", err)
+			}
+		}
+	})
+}
+
+func TestCrossedOffersNeverMoveBack(t *testing.T) {
+	const versions = 200
+	configs := make([]qhconfig.Config, versions)
+	digests := make([]qhid.Digest, versions)
+	for i := range configs {
+		configs[i] = qhsample.Sized(2)
+		configs[i].Services[0].Slots = i + 1
+		digests[i] = configs[i].Digest()
+	}
+	holder := qhhold.New(qhhold.Options{})
+	g := NewWithT(t)
+	group, cleanup := qhgroup.New(context.Background())
+	defer cleanup()
+	results := make(chan error, 8)
+	for sender := range 7 {
+		group.Go(func(context.Context) { results <- send(holder, configs, digests, sender) })
+	}
+	group.Go(func(ctx context.Context) { results <- watch(ctx, holder, versions) })
+	for range 8 {
+		g.Eventually(results, "30s").Should(Receive(BeNil()))
+	}
+	g.Expect(holder.Version()).To(Equal(qhid.Version(versions)))
+}
+
+func send(holder *qhhold.Holder, configs []qhconfig.Config, digests []qhid.Digest, stride int) error {
+	for i := range configs {
+		at := i ^ stride // crosses neighbours
+		if at >= len(configs) {
+			continue
+		}
+		if _, err := holder.Offer(qhid.Version(at+1), configs[at], digests[at]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// watch reads until the last version is held, and fails where one is older
+// than the one before or is not its version's own.
+func watch(ctx context.Context, holder *qhhold.Holder, versions int) error {
+	var last qhid.Version
+	for last < qhid.Version(versions) {
+		changed := holder.Changed()
+		snapshot := holder.Current()
+		if snapshot == nil || snapshot.Version == last {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+			continue
+		}
+		if snapshot.Version < last || snapshot.Services["service-00000"].Slots != int(snapshot.Version) {
+			return qherr.New(qherr.Internal, nil, "", "version %d after %d", snapshot.Version, last)
+		}
+		last = snapshot.Version
+	}
+	return nil
+}
+
+var _ = Describe("Holder", func() {
+	var (
+		holder *qhhold.Holder
+		set    *metrics.Set
+	)
+
+	BeforeEach(func() {
+		set = metrics.NewSet()
+		holder = qhhold.New(qhhold.Options{Node: "kigali-a-1", Metrics: set})
+		good := qhsample.Sized(3)
+		Expect(holder.Offer(4, good, good.Digest())).To(BeTrue())
+	})
+
+	It("holds nothing at first", func() {
+		Expect(qhhold.New(qhhold.Options{}).Current()).To(BeNil())
+	})
+
+	It("keeps a bad version out, counts it and tells why until a newer one is held", func() {
+		bad := qhsample.Sized(3)
+		bad.Services = bad.Services[:2]
+		for range 2 {
+			applied, err := holder.Offer(5, bad, bad.Digest())
+			Expect(applied).To(BeFalse())
+			Expect(qherr.KindOf(err)).To(Equal(qherr.Refused))
+		}
+		Expect(holder.Version()).To(Equal(qhid.Version(4)))
+		Expect(holder.Refusals()).To(HaveLen(1))
+		Expect(holder.Refusals()[0].Reason).To(ContainSubstring(`service "service-00002" does not exist`))
+		var text bytes.Buffer
+		set.WritePrometheus(&text)
+		Expect(text.String()).To(ContainSubstring(`qh_config_offers_total{result="refused"} 2`))
+		Expect(text.String()).To(ContainSubstring("qh_config_version 4"))
+
+		next := qhsample.Sized(4)
+		Expect(holder.Offer(6, next, next.Digest())).To(BeTrue())
+		Expect(holder.Refusals()).To(BeEmpty())
+	})
+
+	It("takes the real content after a damaged one", func() {
+		next := qhsample.Sized(4)
+		_, err := holder.Offer(5, qhsample.Sized(5), next.Digest())
+		Expect(qherr.KindOf(err)).To(Equal(qherr.Refused))
+		Expect(holder.Offer(5, next, next.Digest())).To(BeTrue())
+	})
+
+	It("refuses another content of the version that it holds", func() {
+		other := qhsample.Sized(4)
+		_, err := holder.Offer(4, other, other.Digest())
+		Expect(err).To(MatchError(ContainSubstring("version 4 is held with digest")))
+		Expect(holder.Current().Config.Services).To(HaveLen(3))
+	})
+
+	It("asks for the whole where a diff has another base", func() {
+		diff := qhconfig.Compare(qhsample.Sized(3), qhsample.Sized(4))
+		diff.Base, diff.Next = 3, 5
+		_, err := holder.OfferDiff(diff)
+		Expect(qherr.KindOf(err)).To(Equal(qherr.Conflict))
+		diff.Base = 4
+		Expect(holder.OfferDiff(diff)).To(BeTrue())
+		Expect(holder.Current().Index.Match("mesh.example", "GET", "/service-00003")).NotTo(BeNil())
+	})
+})
--- /dev/null
+++ b/qhsample/sample.go
@@ -0,0 +1,72 @@
+// Package qhsample makes configurations for tests and measurements.
+package qhsample
+
+import (
+	"fmt"
+
+	"pgregory.net/rapid"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qhid"
+)
+
+// Draw returns a configuration that passes its check, in canonical order.
+func Draw(t *rapid.T, label string) qhconfig.Config {
+	var config qhconfig.Config
+	for _, i := range drawIndexes(t, label+" services", 1) {
+		config.Services = append(config.Services, qhconfig.Service{
+			Name:    serviceName(i),
+			Slots:   rapid.IntRange(0, 3).Draw(t, "slots"),
+			Retired: drawRetired(t),
+		})
+	}
+	for _, i := range drawIndexes(t, label+" routes", 0) {
+		config.Routes = append(config.Routes, drawRoute(t, i, config.Services))
+	}
+	return config.Ordered()
+}
+
+// Sized returns a configuration of so many services and as many routes.
+func Sized(services int) qhconfig.Config {
+	var config qhconfig.Config
+	for i := range services {
+		config.Services = append(config.Services, qhconfig.Service{Name: serviceName(i), Slots: 9, Queue: 64, Connections: 120})
+		config.Routes = append(config.Routes, qhconfig.Route{
+			Name:    qhid.Route(fmt.Sprintf("route-%05d", i)),
+			Host:    "mesh.example",
+			Prefix:  fmt.Sprintf("/service-%05d", i),
+			Methods: []string{"GET", "POST"},
+			Shares:  []qhconfig.Share{{Service: serviceName(i), Percent: 100}},
+			Timeout: qhconfig.MaxTimeout / 1800,
+		})
+	}
+	return config
+}
+
+func drawIndexes(t *rapid.T, label string, least int) []int {
+	return rapid.SliceOfNDistinct(rapid.IntRange(0, 9), least, 8, rapid.ID[int]).Draw(t, label)
+}
+
+func drawRetired(t *rapid.T) []qhid.Target {
+	names := rapid.SliceOfNDistinct(rapid.SampledFrom([]qhid.Target{"a1", "b1", "c1"}), 0, 2, rapid.ID[qhid.Target])
+	return names.Draw(t, "retired")
+}
+
+func drawRoute(t *rapid.T, i int, services []qhconfig.Service) qhconfig.Route {
+	route := qhconfig.Route{
+		Name:   qhid.Route(fmt.Sprintf("route-%05d", i)),
+		Prefix: fmt.Sprintf("/route/%d", i),
+		Repeat: rapid.SampledFrom([]qhconfig.Repeat{qhconfig.RepeatNever, qhconfig.RepeatSafe, qhconfig.RepeatKeyed}).Draw(t, "repeat"),
+	}
+	first := rapid.IntRange(0, len(services)-1).Draw(t, "first")
+	percent := qhid.Percent(rapid.IntRange(1, 100).Draw(t, "percent"))
+	second := (first + 1) % len(services)
+	if percent == 100 || first == second {
+		route.Shares = []qhconfig.Share{{Service: services[first].Name, Percent: 100}}
+		return route
+	}
+	route.Shares = []qhconfig.Share{{Service: services[first].Name, Percent: percent}, {Service: services[second].Name, Percent: 100 - percent}}
+	return route
+}
+
+func serviceName(i int) qhid.Service { return qhid.Service(fmt.Sprintf("service-%05d", i)) }
