qhstand: Add the target that echoes, records and breaks answers

The proofs of calls need a target that tells which calls truly ran, and whose answers can be compared whole.

Change: `qhstand target` has slots, a cold start, a settable time a call, a record by request id and idempotency key, and switches for late, broken, cut, hanging, shed, large and chunked answers and for misleading health. It announces itself to the node of its VM once a second; a stop ends the renewals before it takes the announcement back, since a renewal on its way would announce the target again, then lingers and finishes what is in flight.

Ruled out: closing the listener at once on a stop, since a call that the node had already sent would meet a closed connection and have an unknown outcome.

--- a/qhstand/main.go
+++ b/qhstand/main.go
@@ -36,6 +36,6 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return qherr.New(qherr.BadInput, err, "see qhstand --help", "bad flags")
 	})
-	root.AddCommand(newPlatformCommand())
+	root.AddCommand(newPlatformCommand(), newTargetCommand())
 	return root
 }
--- a/qhstand/qhserve/qhserve.go
+++ b/qhstand/qhserve/qhserve.go
@@ -23,12 +23,14 @@
 	// Listen is the address to listen on; port 0 takes any.
 	Listen  string
 	Handler http.Handler
+	// ConnState is called when a connection changes its state; may be nil.
+	ConnState func(net.Conn, http.ConnState)
 	// Out gets Ready as one line of JSON.
 	Out io.Writer
 	// Grace bounds how long a stop waits for calls in flight.
 	Grace time.Duration
 	// Started is called with the bound address before Out gets its line; may be nil.
-	Started func(ctx context.Context, address qhid.Address) error
+	Started func(ctx context.Context, address qhid.Address)
 	// Stopping is called when the context has ended, before the server stops; may be nil.
 	Stopping func(ctx context.Context)
 }
@@ -45,7 +47,11 @@
 	if err != nil {
 		return qherr.New(qherr.BadInput, err, "choose a free address by --listen", "cannot listen on %s", opts.Listen)
 	}
-	server := &http.Server{Handler: opts.Handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{
+		Handler:           opts.Handler,
+		ConnState:         opts.ConnState,
+		ReadHeaderTimeout: headerTimeout,
+	}
 	failed := make(chan error, 1)
 	group, stop := qhgroup.New(context.WithoutCancel(ctx))
 	defer stop()
@@ -67,9 +73,7 @@
 func (o Options) start(ctx context.Context, listener net.Listener) error {
 	ready := Ready{Address: qhid.Address(listener.Addr().String())}
 	if o.Started != nil {
-		if err := o.Started(ctx, ready.Address); err != nil {
-			return err
-		}
+		o.Started(ctx, ready.Address)
 	}
 	return json.NewEncoder(o.Out).Encode(ready)
 }
--- /dev/null
+++ b/qhstand/qhtarget/target_test.go
@@ -0,0 +1,140 @@
+package qhtarget_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qhgroup"
+	"quetzalhaven.dev/qhheader"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
+	"quetzalhaven.dev/qhstand/qhtarget"
+)
+
+var _ = Describe("Target", func() {
+	var (
+		target *qhtarget.Target
+		server *httptest.Server
+		ctx    context.Context
+	)
+	BeforeEach(func() {
+		ctx = context.Background()
+		target = qhtarget.New(qhtarget.Options{ID: "booking-1", Service: "booking", Zone: "kigali-a", Slots: 1})
+		server = httptest.NewServer(target.Handler())
+		DeferCleanup(func() {
+			server.CloseClientConnections()
+			server.Close()
+		})
+	})
+
+	call := func(ctx context.Context, request qhid.Request) (*http.Response, []byte, error) {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL+"/urns/1?size=2", bytes.NewBufferString("oak"))
+		Expect(err).NotTo(HaveOccurred())
+		req.Header.Set(qhheader.RequestID, string(request))
+		req.Header.Set(qhheader.IdempotencyKey, "key-1")
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			return nil, nil, err
+		}
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		return resp, body, err
+	}
+
+	It("echoes the call and records that it ran", func() {
+		_, body, err := call(ctx, "r1")
+		Expect(err).NotTo(HaveOccurred())
+		var echo qhtarget.Echo
+		Expect(json.Unmarshal(body, &echo)).To(Succeed())
+		Expect(echo).To(Equal(qhtarget.Echo{
+			Target: "booking-1", Service: "booking", Zone: "kigali-a", Request: "r1", Key: "key-1",
+			Method: "POST", Path: "/urns/1", Query: "size=2", Body: "oak",
+			Digest: "df877645404747cb797334b8055b51fc081856d44f5f59a4107f3cdd495c7a0e",
+		}))
+		Expect(target.Record().Requests).To(Equal(map[qhid.Request]int{"r1": 1}))
+		Expect(target.Record().Keys).To(Equal(map[string]int{"key-1": 1}))
+	})
+
+	It("sheds calls above its slots without running them", func() {
+		target.SetFaults(qhtarget.Faults{Next: 1, Hang: true})
+		held, cancel := context.WithCancel(ctx)
+		group, wait := qhgroup.New(ctx)
+		defer wait()
+		group.Go(func(context.Context) { _, _, _ = call(held, "held") })
+		Eventually(func() int { return target.Record().Running }).WithTimeout(20 * time.Second).Should(Equal(1))
+		resp, _, err := call(ctx, "shed")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+		cancel()
+		Eventually(func() int { return target.Record().Cancelled }).WithTimeout(20 * time.Second).Should(Equal(1))
+		Expect(target.Record().Requests).To(Equal(map[qhid.Request]int{"held": 1}))
+		Expect(target.Record().Shed).To(Equal(1))
+	})
+
+	DescribeTable("runs the call and breaks its answer", func(faults qhtarget.Faults) {
+		target.SetFaults(faults)
+		_, _, err := call(ctx, "r1")
+		Expect(err).To(HaveOccurred())
+		Expect(target.Record().Ran).To(Equal(1))
+	},
+		Entry("half-way", qhtarget.Faults{Broken: true}),
+		Entry("half-way in chunks", qhtarget.Faults{Broken: true, Chunked: true, Size: 1 << 20}),
+		Entry("before its first byte", qhtarget.Faults{Cut: true}),
+	)
+
+	It("sends a chunked answer with its digest as a trailer", func() {
+		target.SetFaults(qhtarget.Faults{Chunked: true, Size: 100_000, Late: qhconfig.Duration(time.Millisecond)})
+		resp, body, err := call(ctx, "r1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(body)).To(BeNumerically(">", 100_000))
+		Expect(resp.ContentLength).To(BeNumerically("==", -1))
+		Expect(resp.Trailer.Get(qhtarget.DigestTrailer)).To(HaveLen(64))
+	})
+})
+
+// announcements is a node that takes announcements.
+type announcements struct {
+	mu   sync.Mutex
+	seen []string
+}
+
+func (a *announcements) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
+	var told qhtarget.Announcement
+	_ = json.NewDecoder(r.Body).Decode(&told)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.seen = append(a.seen, r.Method+" "+r.URL.Path+" "+string(told.State))
+}
+
+func (a *announcements) all() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return append([]string{}, a.seen...)
+}
+
+var _ = Describe("Announcer", func() {
+	It("announces the target at once, tells a drain, and takes it back last", func() {
+		node := &announcements{}
+		server := httptest.NewServer(node)
+		defer server.Close()
+		target := qhtarget.New(qhtarget.Options{ID: "booking-1", Service: "booking", Slots: 9, Node: server.URL})
+		announcer := target.Announce(context.Background(), "127.0.0.1:9001")
+		Eventually(node.all).WithTimeout(20 * time.Second).Should(ContainElement("PUT /v1/targets/booking-1 " + string(qhmember.Up)))
+		drain := httptest.NewRequest(http.MethodPut, "/qhstand/drain", nil)
+		target.Handler().ServeHTTP(httptest.NewRecorder(), drain)
+		Eventually(node.all).WithTimeout(20 * time.Second).Should(ContainElement("PUT /v1/targets/booking-1 " + string(qhmember.Leaving)))
+		announcer.Withdraw(context.Background())
+		seen := node.all()
+		Expect(seen[len(seen)-1]).To(Equal("DELETE /v1/targets/booking-1 "))
+	})
+})
