--- /dev/null
+++ b/qhannounce/handler.go
@@ -0,0 +1,71 @@
+package qhannounce
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhid"
+)
+
+// maxBody bounds the size of an announcement.
+const maxBody qhid.Bytes = 16 << 10
+
+// Handler serves the announce API: PUT and DELETE of /v1/targets/{id}, and GET
+// of /v1/targets. An error is one line of text with its remedy.
+func (r *Registry) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /v1/targets/{id}", r.put)
+	mux.HandleFunc("DELETE /v1/targets/{id}", r.drop)
+	mux.HandleFunc("GET /v1/targets", r.get)
+	return mux
+}
+
+func (r *Registry) put(w http.ResponseWriter, request *http.Request) {
+	announcement, err := decode(http.MaxBytesReader(w, request.Body, int64(maxBody)))
+	if err == nil {
+		err = r.Put(qhid.Target(request.PathValue("id")), announcement)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), statusOf(err))
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (r *Registry) drop(w http.ResponseWriter, request *http.Request) {
+	r.Drop(qhid.Target(request.PathValue("id")))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (r *Registry) get(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(r.List()) // the caller has gone
+}
+
+// decode reads one announcement and refuses unknown keys and trailing data.
+func decode(body io.Reader) (Announcement, error) {
+	var announcement Announcement
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&announcement); err != nil {
+		return announcement, qherr.New(qherr.BadInput, err, "send one JSON object with service, address, slots, connections and state", "announcement is not valid")
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return announcement, qherr.New(qherr.BadInput, nil, "send one JSON object", "announcement has data after its end")
+	}
+	return announcement, nil
+}
+
+func statusOf(err error) int {
+	switch qherr.KindOf(err) {
+	case qherr.BadInput:
+		return http.StatusBadRequest
+	case qherr.Refused:
+		return http.StatusConflict
+	default:
+		return http.StatusInternalServerError
+	}
+}
--- /dev/null
+++ b/qhannounce/qhannounce.go
@@ -0,0 +1,169 @@
+// Package qhannounce takes the announcements of the targets on a node's VM.
+// There is no list of targets: one that stops announcing itself is dropped.
+package qhannounce
+
+import (
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
+)
+
+// MaxTargets bounds the targets of one VM.
+const MaxTargets = 64
+
+// MaxSlots bounds the slots and the connections that a target may announce.
+const MaxSlots = 100_000
+
+// Announcement is what a target tells the node on its VM.
+type Announcement struct {
+	Service qhid.Service `json:"service"`
+	// Address is where the target takes calls.
+	Address qhid.Address `json:"address"`
+	// Slots is how many calls the target runs at a time, at least 1.
+	Slots int `json:"slots"`
+	// Connections bounds the open connections to the target; 0 is no bound of its own.
+	Connections int `json:"connections,omitempty"`
+	// State is up, cold or leaving; empty is up.
+	State qhmember.State `json:"state,omitempty"`
+}
+
+// Target is an announced target.
+type Target struct {
+	ID qhid.Target `json:"id"`
+	Announcement
+	// Seen is when the target last announced itself.
+	Seen time.Time `json:"seen"`
+}
+
+// Options configures a Registry.
+type Options struct {
+	// Lapse is after how long without an announcement a target is dropped.
+	Lapse time.Duration
+	// Now is the clock.
+	Now func() time.Time
+	// Changed is called with all targets, ordered by id, after each change of
+	// what they are. Calls come one at a time, in order.
+	Changed func(targets []Target)
+	Log     *zap.Logger
+}
+
+// Registry holds the targets of one VM.
+type Registry struct {
+	Options
+
+	mu      sync.Mutex
+	targets map[qhid.Target]Target
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry(options Options) *Registry {
+	return &Registry{Options: options, targets: make(map[qhid.Target]Target)}
+}
+
+// Put adds or renews a target. Bad announcements are of kind BadInput, and one
+// over MaxTargets is of kind Refused.
+func (r *Registry) Put(id qhid.Target, announcement Announcement) error {
+	if announcement.State == "" {
+		announcement.State = qhmember.Up
+	}
+	if err := check(id, announcement); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before, known := r.targets[id]
+	if !known && len(r.targets) >= MaxTargets {
+		return qherr.New(qherr.Refused, nil, "stop a target of this VM first", "target %q is one over the %d that a node guards", id, MaxTargets)
+	}
+	r.targets[id] = Target{ID: id, Announcement: announcement, Seen: r.Now()}
+	if !known || before.Announcement != announcement {
+		r.Log.Info("target announced", zap.String("target", string(id)), zap.String("service", string(announcement.Service)), zap.String("state", string(announcement.State)))
+		r.changed()
+	}
+	return nil
+}
+
+// Drop removes a target. Dropping one that is not there has no effect.
+func (r *Registry) Drop(id qhid.Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, known := r.targets[id]; !known {
+		return
+	}
+	delete(r.targets, id)
+	r.Log.Info("target withdrawn", zap.String("target", string(id)))
+	r.changed()
+}
+
+// Sweep drops the targets whose announcements have lapsed.
+func (r *Registry) Sweep() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	oldest := r.Now().Add(-r.Lapse)
+	lapsed := false
+	for id, target := range r.targets {
+		if !target.Seen.Before(oldest) {
+			continue
+		}
+		delete(r.targets, id)
+		lapsed = true
+		r.Log.Warn("target lapsed", zap.String("target", string(id)), zap.Time("seen", target.Seen))
+	}
+	if lapsed {
+		r.changed()
+	}
+}
+
+// List returns the targets ordered by id.
+func (r *Registry) List() []Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.list()
+}
+
+func (r *Registry) list() []Target {
+	list := make([]Target, 0, len(r.targets))
+	for _, target := range r.targets {
+		list = append(list, target)
+	}
+	slices.SortFunc(list, func(a, b Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return list
+}
+
+// changed runs with mu held, so that calls come in order.
+func (r *Registry) changed() {
+	r.Changed(r.list())
+}
+
+// check refuses what no target can mean.
+func check(id qhid.Target, announcement Announcement) error {
+	bad := func(key string, value any, remedy string) error {
+		return qherr.New(qherr.BadInput, nil, remedy, "announcement of target %q has %s %v", id, key, value)
+	}
+	host, port, err := net.SplitHostPort(string(announcement.Address))
+	switch {
+	case id == "":
+		return bad("an empty id", "", "put the target's id into the path")
+	case announcement.Service == "":
+		return bad("no service", "", "name the service that the target belongs to")
+	case err != nil || host == "" || port == "":
+		return bad("address", announcement.Address, "write it as host:port")
+	case announcement.Slots < 1 || announcement.Slots > MaxSlots:
+		return bad("slots", announcement.Slots, "give from 1 to 100000")
+	case announcement.Connections < 0 || announcement.Connections > MaxSlots:
+		return bad("connections", announcement.Connections, "give from 0 to 100000")
+	}
+	switch announcement.State {
+	case qhmember.Up, qhmember.Cold, qhmember.Leaving:
+		return nil
+	}
+	return bad("state", announcement.State, "use up, cold or leaving")
+}
--- /dev/null
+++ b/qhannounce/qhannounce_test.go
@@ -0,0 +1,104 @@
+package qhannounce
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"quetzalhaven.dev/qhid"
+)
+
+var _ = Describe("Registry", func() {
+	const good = `{"service":"booking","address":"127.0.0.1:9001","slots":9,"connections":120}`
+
+	var (
+		now     time.Time
+		changes [][]Target
+		server  *Registry
+	)
+	BeforeEach(func() {
+		now = time.Unix(1000, 0)
+		changes = nil
+		server = NewRegistry(Options{
+			Lapse:   3 * time.Second,
+			Now:     func() time.Time { return now },
+			Changed: func(targets []Target) { changes = append(changes, targets) },
+			Log:     zap.NewNop(),
+		})
+	})
+	send := func(method, id, body string) *httptest.ResponseRecorder {
+		answer := httptest.NewRecorder()
+		server.Handler().ServeHTTP(answer, httptest.NewRequest(method, "/v1/targets/"+id, strings.NewReader(body)))
+		return answer
+	}
+
+	It("tells of a change once, not of each renewal", func() {
+		for range 3 {
+			Expect(send(http.MethodPut, "b1", good).Code).To(Equal(http.StatusNoContent))
+		}
+		Expect(changes).To(HaveLen(1))
+		Expect(changes[0][0].State).To(BeEquivalentTo("up"))
+		send(http.MethodPut, "b1", strings.Replace(good, `"slots"`, `"state":"leaving","slots"`, 1))
+		Expect(changes).To(HaveLen(2))
+		Expect(changes[1][0].State).To(BeEquivalentTo("leaving"))
+	})
+
+	It("drops a target that stops announcing itself and keeps the others", func() {
+		send(http.MethodPut, "b1", good)
+		now = now.Add(2 * time.Second)
+		send(http.MethodPut, "b2", good)
+		now = now.Add(2 * time.Second)
+		server.Sweep()
+		Expect(server.List()).To(HaveLen(1))
+		Expect(server.List()[0].ID).To(Equal(qhid.Target("b2")))
+	})
+
+	It("withdraws a target at once", func() {
+		send(http.MethodPut, "b1", good)
+		Expect(send(http.MethodDelete, "b1", "").Code).To(Equal(http.StatusNoContent))
+		Expect(changes[len(changes)-1]).To(BeEmpty())
+	})
+
+	It("refuses one target over its bound and keeps the rest", func() {
+		for i := range MaxTargets {
+			Expect(server.Put(qhid.Target(strings.Repeat("x", i+1)), Announcement{Service: "s", Address: "h:1", Slots: 1})).To(Succeed())
+		}
+		Expect(send(http.MethodPut, "more", good).Code).To(Equal(http.StatusConflict))
+		Expect(server.List()).To(HaveLen(MaxTargets))
+	})
+
+	DescribeTable("refuses bad announcements with the remedy",
+		func(body, message string) {
+			answer := send(http.MethodPut, "b1", body)
+			Expect(answer.Code).To(Equal(http.StatusBadRequest))
+			Expect(answer.Body.String()).To(ContainSubstring(message))
+			Expect(server.List()).To(BeEmpty())
+		},
+		Entry("unknown key", `{"service":"a","address":"h:1","slots":1,"weight":2}`, `unknown field "weight"`),
+		Entry("no service", `{"address":"h:1","slots":1}`, "name the service"),
+		Entry("address", `{"service":"a","address":"h","slots":1}`, "write it as host:port"),
+		Entry("slots", `{"service":"a","address":"h:1"}`, "give from 1 to 100000"),
+		Entry("state", `{"service":"a","address":"h:1","slots":1,"state":"down"}`, "use up, cold or leaving"),
+		Entry("trailing data", good+`{}`, "data after its end"),
+		Entry("not JSON", `hello`, "send one JSON object"),
+	)
+})
+
+func FuzzAnnouncement(f *testing.F) {
+	f.Add(`{"service":"booking","address":"127.0.0.1:9001","slots":9}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		announcement, err := decode(strings.NewReader(body))
+		if err != nil {
+			return
+		}
+		if err := check("t", announcement); err == nil && announcement.Slots < 1 {
+			t.Fatalf("accepted %+v", announcement)
+		}
+	})
+}
