qhoperate: Serve the operators' API

Cause: each process's state, metrics and decisions have to be seen on request. Change: dump, status, metrics, ready, explain, reach, members and drain behind function fields; a node that is down counts in no reach; drain runs once.

--- /dev/null
+++ b/qhoperate/qhoperate_test.go
@@ -0,0 +1,70 @@
+package qhoperate
+
+import (
+	"errors"
+	"net/http"
+	"net/http/httptest"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
+	"quetzalhaven.dev/qhstatus"
+)
+
+var _ = Describe("API", func() {
+	var (
+		drained int
+		notYet  error
+		api     http.Handler
+	)
+	BeforeEach(func() {
+		drained, notYet = 0, nil
+		view := &qhmember.View{Entries: []qhmember.Entry{
+			{Node: "n1", Zone: "kigali-a", State: qhmember.Up, Targets: []qhmember.Target{{ID: "b1", Service: "booking"}}},
+			{Node: "n2", Zone: "kigali-b", State: qhmember.Up},
+			{Node: "n3", Zone: "kigali-b", State: qhmember.Down, Targets: []qhmember.Target{{ID: "b3", Service: "booking"}}},
+		}}
+		api = New(Options{
+			Dump:    func() any { return map[string]int{"version": 3} },
+			Summary: func() qhstatus.Summary { return qhstatus.Summary{Versions: []qhstatus.Count{{Version: 3, Nodes: 2}}} },
+			Ready:   func() error { return notYet },
+			Explain: func(id qhid.Request) any { return []string{string(id)} },
+			View:    func() *qhmember.View { return view },
+			Drain:   func() { drained++ },
+			Metrics: metrics.NewSet(),
+		}).Handler()
+	})
+	ask := func(method, path string) (int, string) {
+		recorder := httptest.NewRecorder()
+		api.ServeHTTP(recorder, httptest.NewRequest(method, path, nil))
+		return recorder.Code, recorder.Body.String()
+	}
+
+	It("counts the reach without nodes that are down", func() {
+		_, body := ask(http.MethodGet, "/reach?service=booking")
+		Expect(body).To(MatchJSON(`{"nodes":2,"zones":[{"zone":"kigali-a","nodes":1,"targets":1},{"zone":"kigali-b","nodes":1,"targets":0}]}`))
+	})
+
+	It("says why it is not ready", func() {
+		notYet = errors.New("no configuration yet; wait")
+		code, body := ask(http.MethodGet, "/ready")
+		Expect(code).To(Equal(http.StatusServiceUnavailable))
+		Expect(body).To(ContainSubstring("no configuration yet"))
+	})
+
+	It("drains once however often it is asked", func() {
+		ask(http.MethodPost, "/drain")
+		code, _ := ask(http.MethodPost, "/drain")
+		Expect(code).To(Equal(http.StatusAccepted))
+		Expect(drained).To(Equal(1))
+	})
+
+	It("asks for the request id", func() {
+		code, body := ask(http.MethodGet, "/explain")
+		Expect(code).To(Equal(http.StatusBadRequest))
+		Expect(body).To(ContainSubstring("/explain?request=ID"))
+	})
+})
--- /dev/null
+++ b/qhoperate/reach.go
@@ -0,0 +1,60 @@
+package qhoperate
+
+import (
+	"slices"
+	"strings"
+
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
+)
+
+// Reach tells where a change of services will be felt, as one node knows it.
+type Reach struct {
+	// Nodes counts all nodes that are not down; each takes every version.
+	Nodes int `json:"nodes"`
+	// Zones are ordered by name.
+	Zones []ZoneReach `json:"zones"`
+}
+
+// ZoneReach is the reach in one availability zone.
+type ZoneReach struct {
+	Zone  qhid.Zone `json:"zone"`
+	Nodes int       `json:"nodes"`
+	// Targets counts the targets of the services asked for.
+	Targets int `json:"targets"`
+}
+
+// ReachOf counts the nodes of the view and the targets of the services.
+func ReachOf(view *qhmember.View, services []qhid.Service) Reach {
+	zones := make(map[qhid.Zone]*ZoneReach)
+	reach := Reach{Zones: []ZoneReach{}}
+	for i := range view.Entries {
+		entry := &view.Entries[i]
+		if entry.State == qhmember.Down {
+			continue
+		}
+		zone := zones[entry.Zone]
+		if zone == nil {
+			zone = &ZoneReach{Zone: entry.Zone}
+			zones[entry.Zone] = zone
+		}
+		zone.Nodes++
+		zone.Targets += targetsOf(entry, services)
+		reach.Nodes++
+	}
+	for _, zone := range zones {
+		reach.Zones = append(reach.Zones, *zone)
+	}
+	slices.SortFunc(reach.Zones, func(a, b ZoneReach) int { return strings.Compare(string(a.Zone), string(b.Zone)) })
+	return reach
+}
+
+func targetsOf(entry *qhmember.Entry, services []qhid.Service) int {
+	count := 0
+	for _, target := range entry.Targets {
+		if slices.Contains(services, target.Service) {
+			count++
+		}
+	}
+	return count
+}
