--- /dev/null
+++ b/qhgolden/qhgolden.go
@@ -0,0 +1,26 @@
+// Package qhgolden compares what tests see with golden files.
+package qhgolden
+
+import (
+	"os"
+
+	"github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
+)
+
+// updateVariable is the environment variable that makes Match write golden
+// files in place of reading them.
+const updateVariable = "UPDATE_GOLDEN"
+
+const fileMode = 0o644
+
+// Match succeeds where a string equals the content of the golden file.
+func Match(path string) types.GomegaMatcher {
+	return gomega.WithTransform(func(got string) ([2]string, error) {
+		if os.Getenv(updateVariable) != "" {
+			return [2]string{got, got}, os.WriteFile(path, []byte(got), fileMode)
+		}
+		want, err := os.ReadFile(path)
+		return [2]string{got, string(want)}, err
+	}, gomega.Satisfy(func(pair [2]string) bool { return pair[0] == pair[1] }))
+}
--- a/qhsetting/node.go
+++ b/qhsetting/node.go
@@ -9,13 +9,13 @@
 
 // Node is the settings of one qhnode.
 type Node struct {
-	ID   qhid.Node `json:"id" validate:"required"`
-	Zone qhid.Zone `json:"zone" validate:"required"`
+	ID   qhid.Node `json:"id" validate:"required,name"`
+	Zone qhid.Zone `json:"zone" validate:"required,name"`
 	// Platform is the base URL of the platform's object API.
-	Platform string `json:"platform" validate:"required,url"`
+	Platform string `json:"platform" validate:"required,http_url"`
 	// Seeds are peer addresses to ask while the platform is out.
-	Seeds  []qhid.Address `json:"seeds" validate:"dive,hostname_port"`
-	Listen Listen         `json:"listen" validate:"required"`
+	Seeds  []qhid.Address `json:"seeds" validate:"unique,dive,address"`
+	Listen Listen         `json:"listen"`
 	Spread Spread         `json:"spread"`
 	Calls  Calls          `json:"calls"`
 	Log    Log            `json:"log"`
@@ -25,15 +25,15 @@
 // bound on all addresses unless the settings say so.
 type Listen struct {
 	// Callers is for the calls of callers.
-	Callers qhid.Address `json:"callers" validate:"required,hostname_port"`
+	Callers qhid.Address `json:"callers" validate:"required,address"`
 	// Calls is for calls that other nodes send on.
-	Calls qhid.Address `json:"calls" validate:"required,hostname_port"`
+	Calls qhid.Address `json:"calls" validate:"required,address"`
 	// Peers is for messages of other nodes.
-	Peers qhid.Address `json:"peers" validate:"required,hostname_port"`
+	Peers qhid.Address `json:"peers" validate:"required,address"`
 	// Targets is where the targets of this VM announce themselves.
-	Targets qhid.Address `json:"targets" validate:"required,hostname_port"`
+	Targets qhid.Address `json:"targets" validate:"required,address"`
 	// Operators is for dump, metrics, status and explain.
-	Operators qhid.Address `json:"operators" validate:"required,hostname_port"`
+	Operators qhid.Address `json:"operators" validate:"required,address"`
 }
 
 // Spread is how configuration and membership are passed on. Small values of
@@ -44,29 +44,29 @@
 	// Relays is the number of relay slots of an availability zone.
 	Relays int `json:"relays" validate:"min=1,max=8"`
 	// Batch is how long announcements wait for others to share a message.
-	Batch qhconfig.Duration `json:"batch"`
+	Batch qhconfig.Duration `json:"batch" validate:"gt=0"`
 	// Heartbeat is the period of messages on a quiet link.
-	Heartbeat qhconfig.Duration `json:"heartbeat"`
+	Heartbeat qhconfig.Duration `json:"heartbeat" validate:"gt=0"`
 	// Silence is after how long without a message a link counts as dead.
-	Silence qhconfig.Duration `json:"silence"`
+	Silence qhconfig.Duration `json:"silence" validate:"gt=0"`
 	// Exchange is the period of the comparison with a random peer.
-	Exchange qhconfig.Duration `json:"exchange"`
+	Exchange qhconfig.Duration `json:"exchange" validate:"gt=0"`
 	// Lease is how long a relay slot is held without renewal.
-	Lease qhconfig.Duration `json:"lease"`
+	Lease qhconfig.Duration `json:"lease" validate:"gt=0"`
 }
 
 // Calls is the limits on the path of a call.
 type Calls struct {
 	// Timeout bounds a call that brings no deadline on a route without one.
-	Timeout qhconfig.Duration `json:"timeout"`
+	Timeout qhconfig.Duration `json:"timeout" validate:"gt=0"`
 	// Silence bounds the wait for the first byte of an answer.
-	Silence qhconfig.Duration `json:"silence"`
+	Silence qhconfig.Duration `json:"silence" validate:"gt=0"`
 	// Headers bounds the size of a request's headers.
 	Headers qhid.Bytes `json:"headers" validate:"min=1024"`
 	// Body bounds the size of a request's body.
 	Body qhid.Bytes `json:"body" validate:"min=1"`
 	// Grace bounds a graceful stop.
-	Grace qhconfig.Duration `json:"grace"`
+	Grace qhconfig.Duration `json:"grace" validate:"gt=0"`
 	// Budget is the share of calls that may be repeats.
 	Budget qhid.Percent `json:"budget" validate:"min=0,max=100"`
 	// Decisions is how many recent decisions are kept for explain.
--- /dev/null
+++ b/qhsetting/validate.go
@@ -0,0 +1,85 @@
+package qhsetting
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"regexp"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+)
+
+// maxName bounds the length of an id in settings.
+const maxName = 64
+
+// validate checks the validate tags of settings. Besides the library's tags it
+// knows "name" for ids and "address" for an IP number with a port.
+func validate(settings any) []Problem {
+	check := validator.New(validator.WithRequiredStructEnabled())
+	check.RegisterTagNameFunc(jsonName)
+	name := regexp.MustCompile(`^[a-zA-Z0-9]([a-zA-Z0-9._-]*[a-zA-Z0-9])?$`)
+	rules := map[string]validator.Func{
+		"name": func(field validator.FieldLevel) bool {
+			return len(field.Field().String()) <= maxName && name.MatchString(field.Field().String())
+		},
+		"address": func(field validator.FieldLevel) bool {
+			address, err := netip.ParseAddrPort(field.Field().String())
+			return err == nil && address.Port() != 0
+		},
+	}
+	for tag, rule := range rules {
+		if err := check.RegisterValidation(tag, rule); err != nil {
+			return []Problem{{What: err.Error(), Remedy: "report this as a fault of the program"}}
+		}
+	}
+	return problems(check.Struct(settings))
+}
+
+func problems(err error) []Problem {
+	var list validator.ValidationErrors
+	if !errors.As(err, &list) {
+		return nil
+	}
+	found := make([]Problem, 0, len(list))
+	for _, field := range list {
+		found = append(found, problem(field))
+	}
+	return found
+}
+
+func problem(field validator.FieldError) Problem {
+	_, key, _ := strings.Cut(field.Namespace(), ".")
+	p := Problem{Key: key, What: fmt.Sprintf("can't be %v", quoted(field.Value()))}
+	switch field.Tag() {
+	case "required":
+		p.What, p.Remedy = "is missing", "set it"
+	case "name":
+		p.Remedy = fmt.Sprintf("use at most %d letters, digits, '.', '_' and '-'", maxName)
+	case "address":
+		p.Remedy = "write an IP number and a port, such as 10.0.0.4:7100"
+	case "http_url":
+		p.Remedy = "write a URL such as http://10.0.0.2:7000"
+	case "gt":
+		p.Remedy = "write more than " + field.Param()
+	case "min":
+		p.Remedy = "write at least " + field.Param()
+	case "max":
+		p.Remedy = "write at most " + field.Param()
+	case "oneof":
+		p.Remedy = "write one of " + strings.ReplaceAll(field.Param(), " ", ", ")
+	case "unique":
+		p.What, p.Remedy = "names one value twice", "remove one of the two"
+	default:
+		p.Remedy = "keep to the rule " + field.Tag()
+	}
+	return p
+}
+
+func quoted(value any) string {
+	text := fmt.Sprintf("%v", value)
+	if text == "" || strings.ContainsAny(text, " ;") {
+		return fmt.Sprintf("%q", text)
+	}
+	return text
+}
