qhplatform: Add the platform in memory, over HTTP and as a client

Every other part needs the object API before it can do anything real.

Change: Memory has versions, conditional writes, watches, the size limit, a count of every call and a switch for each fault; NewHandler serves it; NewHTTP calls it with a limiter, bounded connections and backoff with full jitter for reads. One revision counter for all objects, since a counter per object would start anew after a delete and let an old condition hold again.

A write without an answer is Unknown from the moment it has a connection and Unavailable before that, told apart by httptrace.

What failed first: the test that a slow write takes effect after its caller gave up failed once in three runs, since the memory read the faults anew when the caller had gone and the switch was off again by then.

--- /dev/null
+++ b/qhplatform/counts.go
@@ -0,0 +1,58 @@
+package qhplatform
+
+import (
+	"time"
+
+	"quetzalhaven.dev/qhid"
+)
+
+// Operation names a kind of call to the platform.
+type Operation string
+
+// The operations.
+const (
+	OpGet    Operation = "get"
+	OpCreate Operation = "create"
+	OpUpdate Operation = "update"
+	OpDelete Operation = "delete"
+	OpList   Operation = "list"
+	OpWatch  Operation = "watch"
+)
+
+func (o Operation) writes() bool { return o == OpCreate || o == OpUpdate || o == OpDelete }
+
+// Counts is what a Memory was asked. A watch counts as one call however long it waits.
+type Counts struct {
+	// Calls counts by operation, refused ones included.
+	Calls map[Operation]int `json:"calls"`
+	// Total adds up Calls.
+	Total int `json:"total"`
+	// Refused counts calls above the rate.
+	Refused int `json:"refused"`
+	// Peak is the most calls of one second by the clock.
+	Peak int `json:"peak"`
+	// Waiting is how many watches wait now.
+	Waiting int `json:"waiting"`
+	// Written and Read add up the sizes of values.
+	Written qhid.Bytes `json:"written"`
+	Read    qhid.Bytes `json:"read"`
+	// Objects and Stored are the number and size of what is held now.
+	Objects int        `json:"objects"`
+	Stored  qhid.Bytes `json:"stored"`
+}
+
+// second counts the calls of one second by the clock.
+type second struct {
+	at    int64
+	calls int
+}
+
+func (c *Counts) add(op Operation, now time.Time, current *second) {
+	c.Calls[op]++
+	c.Total++
+	if at := now.Unix(); at != current.at {
+		*current = second{at: at}
+	}
+	current.calls++
+	c.Peak = max(c.Peak, current.calls)
+}
--- /dev/null
+++ b/qhplatform/store_test.go
@@ -0,0 +1,206 @@
+package qhplatform_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/onsi/gomega/types"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhplatform"
+)
+
+func beKind(kind qherr.Kind) types.GomegaMatcher {
+	return WithTransform(qherr.KindOf, Equal(kind))
+}
+
+// reach returns a store onto the memory and its clean-up.
+type reach func(*qhplatform.Memory) (qhplatform.Store, func())
+
+func direct(memory *qhplatform.Memory) (qhplatform.Store, func()) { return memory.Store(), func() {} }
+
+func overHTTP(memory *qhplatform.Memory) (qhplatform.Store, func()) {
+	server := httptest.NewServer(qhplatform.NewHandler(memory))
+	store, closeStore := qhplatform.NewHTTP(qhplatform.HTTPOptions{Base: server.URL, Rate: 1e6, Timeout: 20 * time.Second})
+	return store, func() {
+		closeStore()
+		server.CloseClientConnections()
+		server.Close()
+	}
+}
+
+func describeStore(name string, connect reach) {
+	Describe(name, func() {
+		var (
+			memory *qhplatform.Memory
+			store  qhplatform.Store
+			ctx    context.Context
+		)
+		BeforeEach(func() {
+			var cleanUp func()
+			memory = qhplatform.NewMemory(qhplatform.MemoryOptions{Watch: 20 * time.Millisecond})
+			store, cleanUp = connect(memory)
+			DeferCleanup(cleanUp)
+			ctx = context.Background()
+		})
+
+		It("writes only where the condition holds", func() {
+			first, err := store.Create(ctx, "zone/a", []byte("1"))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = store.Create(ctx, "zone/a", []byte("2"))
+			Expect(err).To(beKind(qherr.Conflict))
+			second, err := store.Update(ctx, "zone/a", []byte("3"), first)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(second).To(BeNumerically(">", first))
+			_, err = store.Update(ctx, "zone/a", []byte("4"), first)
+			Expect(err).To(beKind(qherr.Conflict))
+			Expect(store.Delete(ctx, "zone/a", first)).To(beKind(qherr.Conflict))
+			object, err := store.Get(ctx, "zone/a")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(object).To(Equal(qhplatform.Object{Key: "zone/a", Value: []byte("3"), Revision: second}))
+		})
+
+		It("gives a larger revision to an object that was deleted and made again", func() {
+			first, err := store.Create(ctx, "a", nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(store.Delete(ctx, "a", first)).To(Succeed())
+			_, err = store.Get(ctx, "a")
+			Expect(err).To(beKind(qherr.NotFound))
+			_, err = store.Update(ctx, "a", nil, first)
+			Expect(err).To(beKind(qherr.Conflict))
+			second, err := store.Create(ctx, "a", nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(second).To(BeNumerically(">", first))
+		})
+
+		It("lists by prefix in the order of the keys", func() {
+			for _, key := range []qhplatform.Key{"b/2", "a/1", "b/1"} {
+				_, err := store.Create(ctx, key, []byte(key))
+				Expect(err).NotTo(HaveOccurred())
+			}
+			objects, err := store.List(ctx, "b/")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(objects).To(HaveLen(2))
+			Expect(objects[0].Value).To(Equal([]byte("b/1")))
+			Expect(objects[1].Key).To(Equal(qhplatform.Key("b/2")))
+		})
+
+		It("takes values up to the limit and refuses larger ones", func() {
+			_, err := store.Create(ctx, "a", make([]byte, qhplatform.MaxValue))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = store.Create(ctx, "b", make([]byte, qhplatform.MaxValue+1))
+			Expect(err).To(beKind(qherr.BadInput))
+		})
+
+		DescribeTable("refuses bad keys", func(key qhplatform.Key) {
+			_, err := store.Create(ctx, key, nil)
+			Expect(err).To(beKind(qherr.BadInput))
+		},
+			Entry("empty", qhplatform.Key("")),
+			Entry("relative", qhplatform.Key("a/../b")),
+			Entry("empty segment", qhplatform.Key("a//b")),
+			Entry("odd character", qhplatform.Key("a b?")),
+		)
+
+		It("answers a watch when the object changes, and NotFound at its bound", func() {
+			_, err := store.Watch(ctx, "head", 0)
+			Expect(err).To(beKind(qherr.NotFound))
+			first, err := store.Create(ctx, "head", []byte("1"))
+			Expect(err).NotTo(HaveOccurred())
+			object, err := store.Watch(ctx, "head", 0)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(object.Revision).To(Equal(first))
+			_, err = store.Watch(ctx, "head", first)
+			Expect(err).To(beKind(qherr.NotFound))
+			Expect(memory.Counts().Calls).To(HaveKeyWithValue(qhplatform.OpWatch, 3))
+		})
+
+		It("reports a write with a lost answer as unknown, and it took effect once", func() {
+			memory.SetFaults(qhplatform.Faults{Lost: 1})
+			_, err := store.Create(ctx, "a", []byte("1"))
+			Expect(err).To(beKind(qherr.Unknown))
+			object, err := store.Get(ctx, "a")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(object.Value).To(Equal([]byte("1")))
+			Expect(memory.Counts().Calls).To(HaveKeyWithValue(qhplatform.OpCreate, 1))
+		})
+
+		It("refuses all calls while down, without effect", func() {
+			memory.SetFaults(qhplatform.Faults{Down: true})
+			_, err := store.Create(ctx, "a", nil)
+			Expect(err).To(beKind(qherr.Unavailable))
+			memory.SetFaults(qhplatform.Faults{})
+			_, err = store.Get(ctx, "a")
+			Expect(err).To(beKind(qherr.NotFound))
+		})
+
+		It("refuses calls above its rate", func() {
+			memory.SetFaults(qhplatform.Faults{Rate: 1e-6})
+			_, err := store.Create(ctx, "a", nil)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = store.Create(ctx, "b", nil)
+			Expect(err).To(beKind(qherr.Unavailable))
+			Expect(err).To(MatchError(ContainSubstring("call it less often")))
+			Expect(memory.Counts().Refused).To(Equal(1))
+		})
+
+		It("answers reads with an old state while stale", func() {
+			first, err := store.Create(ctx, "head", []byte("1"))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = store.Update(ctx, "head", []byte("2"), first)
+			Expect(err).NotTo(HaveOccurred())
+			memory.SetFaults(qhplatform.Faults{Stale: 1})
+			object, err := store.Get(ctx, "head")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(object.Value).To(Equal([]byte("1")))
+		})
+
+		It("lets a slow write take effect after its caller gave up", func() {
+			memory.SetFaults(qhplatform.Faults{Delay: qhconfig.Duration(300 * time.Millisecond)})
+			short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+			defer cancel()
+			_, err := store.Create(short, "a", []byte("1"))
+			Expect(err).To(beKind(qherr.Unknown))
+			memory.SetFaults(qhplatform.Faults{})
+			Eventually(func() error {
+				_, err := store.Get(ctx, "a")
+				return err
+			}).WithTimeout(20 * time.Second).Should(Succeed())
+		})
+
+		DescribeTable("keeps the kinds apart when no answer comes", func(faults qhplatform.Faults) {
+			memory.SetFaults(faults)
+			short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+			defer cancel()
+			_, err := store.Watch(short, "a", 0)
+			Expect(err).To(beKind(qherr.Unavailable))
+		},
+			Entry("a silent watch", qhplatform.Faults{Silent: true}),
+			Entry("a platform that hangs", qhplatform.Faults{Hang: true}),
+		)
+	})
+}
+
+var _ = describeStores()
+
+func describeStores() bool {
+	describeStore("Memory", direct)
+	describeStore("HTTP", overHTTP)
+	return true
+}
+
+var _ = Describe("HTTP client", func() {
+	It("reports a refused connection as unavailable, also for a write", func() {
+		server := httptest.NewServer(http.NotFoundHandler())
+		server.Close()
+		store, cleanUp := qhplatform.NewHTTP(qhplatform.HTTPOptions{Base: server.URL, Tries: 1})
+		defer cleanUp()
+		_, err := store.Create(context.Background(), "a", nil)
+		Expect(err).To(beKind(qherr.Unavailable))
+	})
+})
--- /dev/null
+++ b/qhplatform/suite_test.go
@@ -0,0 +1,18 @@
+package qhplatform_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
+)
+
+// ginkgoInterrupts is a goroutine that ginkgo keeps.
+const ginkgoInterrupts = "github.com/onsi/ginkgo/v2/internal/interrupt_handler.(*InterruptHandler).registerForInterrupts.func2"
+
+func TestPlatform(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent(), goleak.IgnoreAnyFunction(ginkgoInterrupts))
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Platform")
+}
