qhsetting: Let a node announce other addresses than it listens on

Cause: a node told others the addresses of its listeners, so nothing could stand between two VMs, such as an address translation. Ruled out: rewriting addresses on the way, since they travel inside messages. Change: settings have an optional announce object for calls, peers and operators. Node.Announced returns what others are to be told; it falls back to the listeners. An unspecified IP number is refused only where it would be told.

--- a/qhsetting/check.go
+++ b/qhsetting/check.go
@@ -15,6 +15,7 @@
 // checkNode returns what is wrong between the settings of a node.
 func checkNode(node Node) []Problem {
 	found := checkListen(node.Listen)
+	found = append(found, checkAnnounced(node)...)
 	found = append(found, checkSpread(node.Spread)...)
 	return append(found, checkCalls(node.Calls)...)
 }
@@ -23,40 +24,51 @@
 	var found []Problem
 	seen := make(map[qhid.Address]string)
 	for _, listener := range listen.listeners() {
-		key := "listen." + listener.name
 		if other, ok := seen[listener.address]; ok {
 			found = append(found, Problem{
-				Key:    key,
-				What:   fmt.Sprintf("can't be %s, which listen.%s has", listener.address, other),
+				Key:    listener.key,
+				What:   fmt.Sprintf("can't be %s, which %s has", listener.address, other),
 				Remedy: "give each listener a port of its own",
 			})
 		}
-		seen[listener.address] = listener.name
-		if listener.announced && unspecified(listener.address) {
+		seen[listener.address] = listener.key
+	}
+	return found
+}
+
+// checkAnnounced refuses to announce an address that can't be dialled.
+func checkAnnounced(node Node) []Problem {
+	announced := node.Announced()
+	var found []Problem
+	for _, listener := range []listener{
+		{key: "listen.calls", address: announced.Calls},
+		{key: "listen.peers", address: announced.Peers},
+		{key: "listen.operators", address: announced.Operators},
+	} {
+		if unspecified(listener.address) {
 			found = append(found, Problem{
-				Key:    key,
+				Key:    listener.key,
 				What:   fmt.Sprintf("can't be %s, since others are told to dial it", listener.address),
-				Remedy: "write an IP number of this VM",
+				Remedy: "write an IP number of this VM, also under announce",
 			})
 		}
 	}
 	return found
 }
 
+// listener is an address and its key in the settings.
 type listener struct {
-	name    string
+	key     string
 	address qhid.Address
-	// announced listeners are dialled from other VMs.
-	announced bool
 }
 
 func (l Listen) listeners() []listener {
 	return []listener{
-		{name: "callers", address: l.Callers},
-		{name: "calls", address: l.Calls, announced: true},
-		{name: "peers", address: l.Peers, announced: true},
-		{name: "targets", address: l.Targets},
-		{name: "operators", address: l.Operators, announced: true},
+		{key: "listen.callers", address: l.Callers},
+		{key: "listen.calls", address: l.Calls},
+		{key: "listen.peers", address: l.Peers},
+		{key: "listen.targets", address: l.Targets},
+		{key: "listen.operators", address: l.Operators},
 	}
 }
 
--- a/qhsetting/load_test.go
+++ b/qhsetting/load_test.go
@@ -36,6 +36,14 @@
 		Expect(node).To(Equal(want))
 	})
 
+	It("announces the listeners, or what the settings say", func() {
+		node, err := qhsetting.LoadNode("testdata/good/announce.jsonc")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(node.Announced()).To(Equal(qhsetting.Announce{
+			Calls: "10.0.0.4:7102", Peers: "10.0.0.4:7103", Operators: "127.0.0.1:7105",
+		}))
+	})
+
 	It("says that there is no such file", func() {
 		_, err := qhsetting.LoadNode("testdata/absent.jsonc")
 		Expect(qherr.Is(err, qherr.BadInput)).To(BeTrue())
--- a/qhsetting/node.go
+++ b/qhsetting/node.go
@@ -3,6 +3,8 @@
 package qhsetting
 
 import (
+	"cmp"
+
 	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qhid"
 )
@@ -16,9 +18,11 @@
 	// Seeds are peer addresses to ask while the platform is out.
 	Seeds  []qhid.Address `json:"seeds" validate:"unique,dive,address"`
 	Listen Listen         `json:"listen"`
-	Spread Spread         `json:"spread"`
-	Calls  Calls          `json:"calls"`
-	Log    Log            `json:"log"`
+	// Announce is where others reach the node if not where it listens.
+	Announce Announce `json:"announce"`
+	Spread   Spread   `json:"spread"`
+	Calls    Calls    `json:"calls"`
+	Log      Log      `json:"log"`
 }
 
 // Listen is where a node listens. Every address names its host: none is
@@ -36,6 +40,23 @@
 	Operators qhid.Address `json:"operators" validate:"required,address"`
 }
 
+// Announce is where other VMs reach listeners, such as behind an address
+// translation. An empty address is that of the listener.
+type Announce struct {
+	Calls     qhid.Address `json:"calls,omitempty" validate:"omitempty,address"`
+	Peers     qhid.Address `json:"peers,omitempty" validate:"omitempty,address"`
+	Operators qhid.Address `json:"operators,omitempty" validate:"omitempty,address"`
+}
+
+// Announced returns where other VMs reach the node. No address is empty.
+func (n Node) Announced() Announce {
+	return Announce{
+		Calls:     cmp.Or(n.Announce.Calls, n.Listen.Calls),
+		Peers:     cmp.Or(n.Announce.Peers, n.Listen.Peers),
+		Operators: cmp.Or(n.Announce.Operators, n.Listen.Operators),
+	}
+}
+
 // Spread is how configuration and membership are passed on. Small values of
 // batch favour convergence time, large ones control bytes.
 type Spread struct {
