qhintent: Add intents and what they make of a configuration

Operators state an intent; the system has to answer with all that it changes or with a refusal that tells what to do. An intent is one flat object whose verb says which fields it takes; a field that its verb does not take is refused with file and line, so that no intent is read in part. A file is applied to a copy and checked whole. Removing a service that a route still uses names the routes, and can be done in one file with the shift that frees it.

Fuzzing the parser failed first on the input "\n" in place of a file: the error repeated the line break. Errors of qherr now hold no control characters, which also keeps input from writing to an operator's terminal. The remedy of an optional setting names the kind of its value in place of "a whole number".

--- /dev/null
+++ b/qhconfig/fuzz_test.go
@@ -0,0 +1,42 @@
+package qhconfig_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhsample"
+)
+
+func FuzzDecode(f *testing.F) {
+	sample, err := json.Marshal(qhsample.Sized(2))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(sample)
+	f.Add([]byte(`{"services":[{"name":"booking"}],"routes":[{"name":"urns","prefix":"/","shares":[{"service":"booking","percent":100}],"timeout":"5s"}]}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		config, err := qhconfig.Decode[qhconfig.Config](data)
+		if err != nil {
+			if !qherr.Is(err, qherr.BadInput) || strings.Contains(err.Error(), "\n") {
+				t.Fatalf("not one line of bad input: %q", err)
+			}
+			return
+		}
+		if config.Check() != nil {
+			return
+		}
+		if config.Ordered().Digest() != config.Digest() {
+			t.Fatalf("a checked configuration is out of order: %q", data)
+		}
+		again, err := json.Marshal(config)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if same, err := qhconfig.Decode[qhconfig.Config](again); err != nil || same.Digest() != config.Digest() {
+			t.Fatalf("it reads as another one: %s, %v", again, err)
+		}
+	})
+}
--- a/qhconfig/order.go
+++ b/qhconfig/order.go
@@ -52,3 +52,14 @@
 	}
 	return &c.Routes[i]
 }
+
+// RoutesOf returns the routes that send calls to the service, ordered by name.
+func (c Config) RoutesOf(service qhid.Service) []qhid.Route {
+	var routes []qhid.Route
+	for i := range c.Routes {
+		if slices.ContainsFunc(c.Routes[i].Shares, func(s Share) bool { return s.Service == service }) {
+			routes = append(routes, c.Routes[i].Name)
+		}
+	}
+	return routes
+}
--- a/qherr/qherr.go
+++ b/qherr/qherr.go
@@ -5,6 +5,8 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
+	"unicode"
 
 	"github.com/gravitational/trace"
 )
@@ -68,7 +70,16 @@
 	if e.Remedy != "" {
 		msg += "; " + e.Remedy
 	}
-	return msg
+	return strings.Map(printable, msg)
+}
+
+// printable puts a space for line breaks and other control characters, which
+// input that an error repeats may hold.
+func printable(r rune) rune {
+	if unicode.IsControl(r) {
+		return ' '
+	}
+	return r
 }
 
 // Unwrap returns the cause.
--- /dev/null
+++ b/qhintent/apply.go
@@ -0,0 +1,170 @@
+package qhintent
+
+import (
+	"slices"
+	"strings"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhid"
+)
+
+func (d *draft) apply(intent Intent) error {
+	switch {
+	case intent.Do == Back:
+		return qherr.New(qherr.BadInput, nil, "put it into a file of its own", "%s can't be applied to a configuration", intent)
+	case intent.Route != "":
+		return d.applyRoute(intent)
+	default:
+		return d.applyService(intent)
+	}
+}
+
+func (d *draft) applyService(intent Intent) error {
+	service := d.services[intent.Service]
+	if (service != nil) == (intent.Do == Add) {
+		return existence(intent, service != nil, names(d.services))
+	}
+	switch intent.Do {
+	case Remove:
+		delete(d.services, intent.Service)
+		return nil
+	case Retire:
+		service.Retired = union(service.Retired, intent.Targets)
+		return nil
+	case Unretire:
+		return unretire(service, intent)
+	case Add:
+		service = &qhconfig.Service{Name: intent.Service}
+		d.services[intent.Service] = service
+	}
+	set(&service.Slots, intent.Slots)
+	set(&service.Queue, intent.Queue)
+	set(&service.Connections, intent.Connections)
+	return nil
+}
+
+func (d *draft) applyRoute(intent Intent) error {
+	route := d.routes[intent.Route]
+	if (route != nil) == (intent.Do == Add) {
+		return existence(intent, route != nil, names(d.routes))
+	}
+	switch intent.Do {
+	case Remove:
+		delete(d.routes, intent.Route)
+		return nil
+	case Shift:
+		return shift(route, intent)
+	case Add:
+		route = &qhconfig.Route{Name: intent.Route}
+		d.routes[intent.Route] = route
+	}
+	setRoute(route, intent)
+	return nil
+}
+
+func setRoute(route *qhconfig.Route, intent Intent) {
+	set(&route.Host, intent.Host)
+	set(&route.Prefix, intent.Prefix)
+	set(&route.Timeout, intent.Timeout)
+	set(&route.Silence, intent.Silence)
+	set(&route.Body, intent.Body)
+	if intent.Methods != nil {
+		route.Methods = intent.Methods
+	}
+	if intent.Shares != nil {
+		route.Shares = slices.Clone(intent.Shares)
+	}
+	if intent.Repeat != nil {
+		route.Repeat = repeatOf(*intent.Repeat)
+	}
+}
+
+// repeatOf returns how a route repeats. An unknown word is left to the check.
+func repeatOf(word string) qhconfig.Repeat {
+	if word == "never" {
+		return qhconfig.RepeatNever
+	}
+	return qhconfig.Repeat(word)
+}
+
+// shift moves points between two services of a route, or sets all shares.
+func shift(route *qhconfig.Route, intent Intent) error {
+	if intent.Shares != nil {
+		route.Shares = slices.Clone(intent.Shares)
+		return nil
+	}
+	from := slices.IndexFunc(route.Shares, func(s qhconfig.Share) bool { return s.Service == intent.From })
+	if from < 0 || route.Shares[from].Percent < intent.Percent {
+		return qherr.New(qherr.Refused, nil, "shift no more than it has", "%s: service %q has %d%%, not %d%%",
+			intent, intent.From, percentOf(route, from), intent.Percent)
+	}
+	to := slices.IndexFunc(route.Shares, func(s qhconfig.Share) bool { return s.Service == intent.To })
+	if to < 0 {
+		route.Shares = append(route.Shares, qhconfig.Share{Service: intent.To})
+		to = len(route.Shares) - 1
+	}
+	route.Shares[from].Percent -= intent.Percent
+	route.Shares[to].Percent += intent.Percent
+	route.Shares = slices.DeleteFunc(route.Shares, func(s qhconfig.Share) bool { return s.Percent == 0 })
+	return nil
+}
+
+func percentOf(route *qhconfig.Route, share int) qhid.Percent {
+	if share < 0 {
+		return 0
+	}
+	return route.Shares[share].Percent
+}
+
+func unretire(service *qhconfig.Service, intent Intent) error {
+	for _, target := range intent.Targets {
+		if !slices.Contains(service.Retired, target) {
+			return qherr.New(qherr.Refused, nil, "leave it out", "%s: target %q is not retired", intent, target)
+		}
+	}
+	service.Retired = slices.DeleteFunc(service.Retired, func(target qhid.Target) bool {
+		return slices.Contains(intent.Targets, target)
+	})
+	return nil
+}
+
+// existence is the error of an add of what is there, or else of what is not.
+func existence(intent Intent, exists bool, known []string) error {
+	if exists {
+		return qherr.New(qherr.Refused, nil, `use "change", or another name`, "%s: it exists already", intent)
+	}
+	remedy := "add it first"
+	if len(known) > 0 {
+		remedy += ", or use one of " + strings.Join(known, ", ")
+	}
+	return qherr.New(qherr.Refused, nil, remedy, "%s: it does not exist", intent)
+}
+
+// maxKnown bounds the names that a remedy lists.
+const maxKnown = 10
+
+func names[N ~string, T any](entries map[N]*T) []string {
+	known := make([]string, 0, len(entries))
+	for name := range entries {
+		known = append(known, string(name))
+	}
+	slices.Sort(known)
+	if len(known) > maxKnown {
+		known = append(known[:maxKnown], "...")
+	}
+	return known
+}
+
+func union(a, b []qhid.Target) []qhid.Target {
+	all := slices.Concat(a, b)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
+
+// set sets the field where the value is given.
+func set[T any](field, value *T) {
+	if value != nil {
+		*field = *value
+	}
+}
--- /dev/null
+++ b/qhintent/draft.go
@@ -0,0 +1,115 @@
+package qhintent
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhid"
+)
+
+// Result is what intents make of a configuration.
+type Result struct {
+	// Config is in canonical order and passes its check.
+	Config qhconfig.Config
+	// Services and Routes have the reasons for what was changed, by name.
+	Services map[qhid.Service][]string
+	Routes   map[qhid.Route][]string
+}
+
+// draft is a configuration while intents are applied to it.
+type draft struct {
+	services map[qhid.Service]*qhconfig.Service
+	routes   map[qhid.Route]*qhconfig.Route
+	result   Result
+}
+
+// Apply returns what the intents make of base, which is not changed. What can't
+// be done is of kind Refused; Back is not for Apply. Nothing is half done.
+func (f File) Apply(base qhconfig.Config) (Result, error) {
+	d := newDraft(base)
+	for _, intent := range f.Intents {
+		if err := d.apply(intent); err != nil {
+			return Result{}, err
+		}
+		d.explain(intent, f.Reason)
+	}
+	d.result.Config = d.config()
+	if err := d.checkRemoved(base); err != nil {
+		return Result{}, err
+	}
+	if err := d.result.Config.Check(); err != nil {
+		return Result{}, err
+	}
+	return d.result, nil
+}
+
+func newDraft(base qhconfig.Config) *draft {
+	d := &draft{
+		services: make(map[qhid.Service]*qhconfig.Service, len(base.Services)),
+		routes:   make(map[qhid.Route]*qhconfig.Route, len(base.Routes)),
+		result:   Result{Services: make(map[qhid.Service][]string), Routes: make(map[qhid.Route][]string)},
+	}
+	base = base.Ordered() // a copy all the way down
+	for i := range base.Services {
+		d.services[base.Services[i].Name] = &base.Services[i]
+	}
+	for i := range base.Routes {
+		d.routes[base.Routes[i].Name] = &base.Routes[i]
+	}
+	return d
+}
+
+func (d *draft) config() qhconfig.Config {
+	var config qhconfig.Config
+	for _, name := range slices.Sorted(maps.Keys(d.services)) {
+		config.Services = append(config.Services, *d.services[name])
+	}
+	for _, name := range slices.Sorted(maps.Keys(d.routes)) {
+		config.Routes = append(config.Routes, *d.routes[name])
+	}
+	return config.Ordered()
+}
+
+// explain notes the reason for what the intent changes.
+func (d *draft) explain(intent Intent, reason string) {
+	why := intent.String()
+	if intent.Do == Shift && intent.From != "" {
+		why += fmt.Sprintf(" by %d%% from %s to %s", intent.Percent, intent.From, intent.To)
+	}
+	if intent.Why != "" {
+		reason = intent.Why
+	}
+	why += ": " + reason
+	if intent.Route != "" {
+		d.result.Routes[intent.Route] = append(d.result.Routes[intent.Route], why)
+		return
+	}
+	d.result.Services[intent.Service] = append(d.result.Services[intent.Service], why)
+}
+
+// checkRemoved refuses to take a service away that a route still uses.
+func (d *draft) checkRemoved(base qhconfig.Config) error {
+	for i := range base.Services {
+		name := base.Services[i].Name
+		if d.services[name] != nil {
+			continue
+		}
+		if users := d.result.Config.RoutesOf(name); len(users) > 0 {
+			return qherr.New(qherr.Refused, nil, "remove or shift the routes first, or in the same file",
+				"service %q is still used by %s", name, quoteAll(users))
+		}
+	}
+	return nil
+}
+
+func quoteAll(routes []qhid.Route) string {
+	texts := make([]string, len(routes))
+	for i, route := range routes {
+		texts[i] = fmt.Sprintf("route %q", route)
+	}
+	return strings.Join(texts, ", ")
+}
--- a/qhsetting/document.go
+++ b/qhsetting/document.go
@@ -150,6 +150,9 @@
 
 // kindOf describes the values that a setting takes.
 func kindOf(value reflect.Value) string {
+	if value.Kind() == reflect.Pointer {
+		return kindOf(reflect.New(value.Type().Elem()).Elem())
+	}
 	if decodesItself(value) {
 		return `a duration such as "1.5s"`
 	}
