--- /dev/null
+++ b/qhhead/bench_test.go
@@ -0,0 +1,59 @@
+package qhhead_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"quetzalhaven.dev/qhhead"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhplatform"
+)
+
+// BenchmarkChange measures what one small change costs on the platform: bytes
+// and calls to write it, and to load it by a reader that has the version before.
+func BenchmarkChange(b *testing.B) {
+	for _, services := range []int{33, 330, 3300} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) { benchmarkChange(b, services) })
+	}
+}
+
+func benchmarkChange(b *testing.B, services int) {
+	ctx := context.Background()
+	memory := qhplatform.NewMemory(qhplatform.MemoryOptions{})
+	writer := qhhead.New(qhhead.Options{Store: memory.Store()})
+	reader := qhhead.New(qhhead.Options{Store: memory.Store()})
+	config := sized(services)
+	head, err := writer.Commit(ctx, change(qhhead.Head{}, "first", config))
+	if err != nil {
+		b.Fatal(err)
+	}
+	whole := memory.Counts()
+	var written, read, calls, reads float64
+	for i := range b.N {
+		before := memory.Counts()
+		config = withSlots(config, i%services, i%1000+10)
+		if head, err = writer.Commit(ctx, change(head, qhid.Plan(fmt.Sprintf("p%d", i)), config)); err != nil {
+			b.Fatal(err)
+		}
+		middle := memory.Counts()
+		seen, err := reader.Read(ctx)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, _, err := reader.Load(ctx, seen); err != nil {
+			b.Fatal(err)
+		}
+		after := memory.Counts()
+		written += float64(middle.Written - before.Written)
+		calls += float64(middle.Total - before.Total)
+		read += float64(after.Read - middle.Read)
+		reads += float64(after.Total - middle.Total)
+	}
+	n := float64(b.N)
+	b.ReportMetric(float64(whole.Written), "whole-B")
+	b.ReportMetric(written/n, "written-B/change")
+	b.ReportMetric(calls/n, "calls/change")
+	b.ReportMetric(read/n, "read-B/change")
+	b.ReportMetric(reads/n, "reads/change")
+}
