qhplan: Plan, confirm, rebase and explain on top of the chain

Operators state intents; the system answers with a plan that shows what changes, where and why, and nothing happens until it is confirmed. A plan is kept on the platform, and its id begins with its base, so that the plans that raced are one list. Confirm moves the head from the plan's base. Where that is gone the plan is looked for in the chain first, then rebased where neither side writes what the other writes or reads. A note in the plan tells its version later; the chain decides.

The proof is a porcupine history of four operators who confirm each other's plans over lost answers, delays, outages and deadlines, in 20 runs.

--- /dev/null
+++ b/qhplan/fixture_test.go
@@ -0,0 +1,98 @@
+package qhplan_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qhhead"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhintent"
+	"quetzalhaven.dev/qhoperate"
+	"quetzalhaven.dev/qhplan"
+	"quetzalhaven.dev/qhplatform"
+)
+
+// fixture is a planner on a platform in memory.
+type fixture struct {
+	*qhplan.Planner
+	memory *qhplatform.Memory
+	chain  *qhhead.Chain
+}
+
+func newFixture(ask qhplan.AskReach) fixture {
+	memory := qhplatform.NewMemory(qhplatform.MemoryOptions{})
+	return newFixtureOn(memory, ask)
+}
+
+// newFixtureOn returns another operator's planner on the same platform. Ids
+// count up from the number of objects.
+func newFixtureOn(memory *qhplatform.Memory, ask qhplan.AskReach) fixture {
+	chain := qhhead.New(qhhead.Options{Store: memory.Store()})
+	planner := qhplan.New(qhplan.Options{
+		Store: memory.Store(),
+		Chain: chain,
+		Reach: ask,
+		Now:   func() time.Time { return time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC) },
+		NewID: func(base qhid.Version) qhid.Plan {
+			return qhid.Plan(fmt.Sprintf("p%d-%012x", base, memory.Counts().Objects))
+		},
+	})
+	return fixture{Planner: planner, memory: memory, chain: chain}
+}
+
+const opened = `{"reason": "open the mesh", "intents": [
+	{"do": "add", "service": "booking", "slots": 9, "connections": 120},
+	{"do": "add", "service": "trial"},
+	{"do": "add", "service": "desk"},
+	{"do": "add", "route": "urns", "prefix": "/urns", "timeout": "5s", "shares": [{"service": "booking", "percent": 100}]},
+	{"do": "add", "route": "orders", "prefix": "/orders", "shares": [{"service": "desk", "percent": 100}]}]}`
+
+func intents(text string) qhintent.File {
+	GinkgoHelper()
+	file, err := qhintent.Parse("intents.jsonc", []byte(text))
+	Expect(err).NotTo(HaveOccurred())
+	return file
+}
+
+// one returns a file of one intent.
+func one(reason, intent string) qhintent.File {
+	GinkgoHelper()
+	return intents(fmt.Sprintf(`{"reason": %q, "intents": [%s]}`, reason, intent))
+}
+
+// plan makes a plan of one intent.
+func (f fixture) plan(ctx context.Context, reason, intent string) qhplan.Plan {
+	GinkgoHelper()
+	plan, err := f.Plan(ctx, "amara", one(reason, intent))
+	Expect(err).NotTo(HaveOccurred())
+	return plan
+}
+
+// open puts the first version in force.
+func (f fixture) open(ctx context.Context) {
+	GinkgoHelper()
+	plan, err := f.Plan(ctx, "amara", intents(opened))
+	Expect(err).NotTo(HaveOccurred())
+	Expect(f.Confirm(ctx, plan.ID, "amara")).To(HaveField("Version", qhid.Version(1)))
+}
+
+// config returns the newest configuration and its version.
+func (f fixture) config(ctx context.Context) (qhconfig.Config, qhid.Version) {
+	GinkgoHelper()
+	head, err := f.chain.Read(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	config, _, err := f.chain.Load(ctx, head)
+	Expect(err).NotTo(HaveOccurred())
+	return config, head.Version
+}
+
+func kigali(_ context.Context, services []qhid.Service) (qhid.Address, qhoperate.Reach, error) {
+	return "127.0.0.1:7104", qhoperate.Reach{Nodes: 6, Zones: []qhoperate.ZoneReach{
+		{Zone: "kigali-a", Nodes: 2, Targets: len(services)}, {Zone: "kigali-b", Nodes: 4, Targets: 3},
+	}}, nil
+}
--- /dev/null
+++ b/qhplan/plan_test.go
@@ -0,0 +1,238 @@
+package qhplan_test
+
+import (
+	"context"
+	"encoding/json"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhgolden"
+	"quetzalhaven.dev/qhhead"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhintent"
+	"quetzalhaven.dev/qhplan"
+	"quetzalhaven.dev/qhplatform"
+)
+
+// The intents of the tests.
+const (
+	toTrial  = `{"do": "shift", "route": "urns", "from": "booking", "to": "trial", "percent": 10}`
+	slots    = `{"do": "limit", "service": "booking", "slots": 4}`
+	trialSet = `{"do": "limit", "service": "trial", "slots": 1}`
+	desk     = `{"do": "limit", "service": "desk", "slots": 6}`
+	orders   = `{"do": "limit", "route": "orders", "timeout": "2s"}`
+)
+
+var _ = Describe("Plan", func() {
+	It("tells what changes, where and why, and changes nothing", func(ctx SpecContext) {
+		f := newFixture(kigali)
+		f.open(ctx)
+		plan := f.plan(ctx, "try the new booking", toTrial)
+		text, err := json.MarshalIndent(plan, "", "  ")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(qhgolden.Match("testdata/plan.golden"))
+		_, version := f.config(ctx)
+		Expect(version).To(Equal(qhid.Version(1)))
+		Expect(f.Get(ctx, plan.ID)).To(Equal(plan))
+	})
+
+	It("says so where the reach is not known", func(ctx SpecContext) {
+		f := newFixture(nil)
+		f.open(ctx)
+		plan := f.plan(ctx, "fewer", slots)
+		Expect(plan.Reach.Unknown).To(Equal("no node was asked"))
+		Expect(plan.Reach.Services).To(Equal([]qhid.Service{"booking"}))
+	})
+
+	It("refuses what changes nothing", func(ctx SpecContext) {
+		f := newFixture(nil)
+		f.open(ctx)
+		_, err := f.Plan(ctx, "amara", one("same", `{"do": "limit", "service": "booking", "slots": 9}`))
+		Expect(err).To(MatchError(ContainSubstring("change nothing in version 1")))
+		Expect(qherr.KindOf(err)).To(Equal(qherr.Refused))
+	})
+
+	It("is kept where the answer to the write is lost", func(ctx SpecContext) {
+		f := newFixture(nil)
+		f.memory.SetFaults(qhplatform.Faults{Lost: 1, Prefix: "plan/"})
+		plan, err := f.Plan(ctx, "amara", intents(opened))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(f.Get(ctx, plan.ID)).To(Equal(plan))
+	})
+})
+
+var _ = Describe("Confirm", func() {
+	var f fixture
+
+	BeforeEach(func(ctx SpecContext) {
+		f = newFixture(nil)
+		f.open(ctx)
+	})
+
+	It("takes effect once, also when confirmed again by another", func(ctx SpecContext) {
+		plan := f.plan(ctx, "fewer", slots)
+		Expect(f.Confirm(ctx, plan.ID, "amara")).To(Equal(qhplan.Confirmed{Plan: plan.ID, Version: 2, Base: 1}))
+		other := newFixtureOn(f.memory, nil)
+		Expect(other.Confirm(ctx, plan.ID, "bento")).To(Equal(qhplan.Confirmed{Plan: plan.ID, Version: 2, Base: 1, Before: true}))
+		_, version := f.config(ctx)
+		Expect(version).To(Equal(qhid.Version(2)))
+	})
+
+	It("takes effect once where the note in the plan was lost and others followed", func(ctx SpecContext) {
+		plan := f.plan(ctx, "fewer", slots)
+		f.confirmWithoutNote(ctx, plan)
+		next := f.plan(ctx, "desk", desk)
+		Expect(f.Confirm(ctx, next.ID, "amara")).To(HaveField("Version", qhid.Version(3)))
+		Expect(f.Confirm(ctx, plan.ID, "amara")).To(And(HaveField("Version", qhid.Version(2)), HaveField("Before", true)))
+	})
+
+	It("is settled where the answer to the head's write is lost", func(ctx SpecContext) {
+		plan := f.plan(ctx, "fewer", slots)
+		f.memory.SetFaults(qhplatform.Faults{Lost: 1, Prefix: "head"})
+		Expect(f.Confirm(ctx, plan.ID, "amara")).To(HaveField("Version", qhid.Version(2)))
+	})
+
+	It("says that the outcome is unknown where the platform goes down after the write", func(ctx SpecContext) {
+		plan := f.plan(ctx, "fewer", slots)
+		store := f.memory.Store()
+		update := store.Update
+		store.Update = func(ctx context.Context, key qhplatform.Key, value []byte, at qhplatform.Revision) (qhplatform.Revision, error) {
+			f.memory.SetFaults(qhplatform.Faults{Lost: 1})
+			_, err := update(ctx, key, value, at)
+			f.memory.SetFaults(qhplatform.Faults{Down: true})
+			return 0, err
+		}
+		chain := qhhead.New(qhhead.Options{Store: store})
+		planner := qhplan.New(qhplan.Options{Store: store, Chain: chain})
+		_, err := planner.Confirm(ctx, plan.ID, "amara")
+		Expect(qherr.KindOf(err)).To(Equal(qherr.Unknown))
+		Expect(err).To(MatchError(ContainSubstring("confirm it again, it takes effect once at most, or ask qhctl explain " + string(plan.ID))))
+		f.memory.SetFaults(qhplatform.Faults{})
+		Expect(f.ExplainPlan(ctx, plan.ID)).To(HaveField("Version", qhid.Version(2)))
+	})
+
+	It("changes nothing while the platform is down, and says so", func(ctx SpecContext) {
+		plan := f.plan(ctx, "fewer", slots)
+		f.memory.SetFaults(qhplatform.Faults{Down: true})
+		_, err := f.Confirm(ctx, plan.ID, "amara")
+		Expect(qherr.KindOf(err)).To(Equal(qherr.Unavailable))
+		Expect(err).To(MatchError(ContainSubstring("nothing was changed, confirm it again when the platform answers")))
+		f.memory.SetFaults(qhplatform.Faults{})
+		_, version := f.config(ctx)
+		Expect(version).To(Equal(qhid.Version(1)))
+	})
+
+	DescribeTable("rebases a plan whose base is gone where both have nothing in common",
+		func(ctx SpecContext, first, second string) {
+			a, b := f.plan(ctx, "first", first), f.plan(ctx, "second", second)
+			Expect(f.Confirm(ctx, a.ID, "amara")).To(HaveField("Version", qhid.Version(2)))
+			Expect(f.Confirm(ctx, b.ID, "bento")).To(Equal(qhplan.Confirmed{Plan: b.ID, Version: 3, Base: 1}))
+		},
+		Entry("services", slots, desk),
+		Entry("routes", toTrial, orders),
+		Entry("a service and a route to another", slots, orders),
+		Entry("new routes to one service",
+			`{"do": "add", "route": "a", "prefix": "/a", "shares": [{"service": "desk", "percent": 100}]}`,
+			`{"do": "add", "route": "b", "prefix": "/b", "shares": [{"service": "desk", "percent": 100}]}`),
+	)
+
+	DescribeTable("refuses a plan whose base is gone where both touch the same",
+		func(ctx SpecContext, first, second, what string) {
+			a, b := f.plan(ctx, "first", first), f.plan(ctx, "second", second)
+			Expect(f.Confirm(ctx, a.ID, "amara")).To(HaveField("Version", qhid.Version(2)))
+			_, err := f.Confirm(ctx, b.ID, "bento")
+			Expect(qherr.KindOf(err)).To(Equal(qherr.Conflict))
+			Expect(err).To(MatchError(And(ContainSubstring(what), ContainSubstring("make the plan anew"))))
+			_, version := f.config(ctx)
+			Expect(version).To(Equal(qhid.Version(2)))
+		},
+		Entry("a service", slots, slots, `service "booking"`),
+		Entry("a route", toTrial, `{"do": "repeat", "route": "urns", "repeat": "safe"}`, `route "urns"`),
+		Entry("the service that a share is shifted to", trialSet, toTrial, `service "trial"`),
+		Entry("a removed service that a route uses by now",
+			`{"do": "shift", "route": "orders", "shares": [{"service": "trial", "percent": 100}]}`,
+			`{"do": "remove", "service": "trial"}`, `service "trial"`),
+		Entry("the place of a route",
+			`{"do": "add", "route": "a", "prefix": "/new", "shares": [{"service": "desk", "percent": 100}]}`,
+			`{"do": "add", "route": "b", "prefix": "/new", "shares": [{"service": "desk", "percent": 100}]}`, `the prefix "/new"`),
+	)
+
+	It("goes back as a new version with the old content, and never over another change", func(ctx SpecContext) {
+		first, _ := f.config(ctx)
+		Expect(f.Confirm(ctx, f.plan(ctx, "fewer", slots).ID, "amara")).To(HaveField("Version", qhid.Version(2)))
+		back, err := f.Plan(ctx, "amara", qhintent.NewBack(1, "too few slots"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(back.Lines[0].Why).To(Equal([]string{"back to version 1: too few slots"}))
+		late, err := f.Plan(ctx, "amara", qhintent.NewBack(1, "twice"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(f.Confirm(ctx, back.ID, "amara")).To(HaveField("Version", qhid.Version(3)))
+		config, _ := f.config(ctx)
+		Expect(config.Digest()).To(Equal(first.Digest()))
+		_, err = f.Confirm(ctx, late.ID, "amara")
+		Expect(qherr.KindOf(err)).To(Equal(qherr.Conflict))
+		_, err = f.Plan(ctx, "amara", qhintent.NewBack(9, "none"))
+		Expect(qherr.KindOf(err)).To(Equal(qherr.NotFound))
+	})
+
+	It("refuses ids that are none", func(ctx SpecContext) {
+		_, err := f.Confirm(ctx, "../head", "amara")
+		Expect(qherr.KindOf(err)).To(Equal(qherr.BadInput))
+		_, err = f.Confirm(ctx, "p1-0123456789ab", "amara")
+		Expect(qherr.KindOf(err)).To(Equal(qherr.NotFound))
+	})
+})
+
+// confirmWithoutNote confirms a plan and lets the note in it fail.
+func (f fixture) confirmWithoutNote(ctx context.Context, plan qhplan.Plan) {
+	GinkgoHelper()
+	_, err := f.Confirm(ctx, plan.ID, "amara")
+	Expect(err).NotTo(HaveOccurred())
+	object, err := f.memory.Store().Get(ctx, qhplatform.Key("plan/"+string(plan.ID)))
+	Expect(err).NotTo(HaveOccurred())
+	plan.Done = nil
+	data, err := json.Marshal(plan)
+	Expect(err).NotTo(HaveOccurred())
+	_, err = f.memory.Store().Update(ctx, object.Key, data, object.Revision)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+var _ = Describe("Explain", func() {
+	It("tells the story of a version and the fate of a plan", func(ctx SpecContext) {
+		f := newFixture(nil)
+		f.open(ctx)
+		first, late, lost := f.plan(ctx, "fewer", slots), f.plan(ctx, "desk", desk), f.plan(ctx, "more", `{"do": "limit", "service": "booking", "slots": 20}`)
+		Expect(f.Confirm(ctx, first.ID, "amara")).To(HaveField("Version", qhid.Version(2)))
+		Expect(f.Confirm(ctx, late.ID, "bento")).To(HaveField("Version", qhid.Version(3)))
+
+		story, err := f.ExplainVersion(ctx, 3)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(story.Over).To(Equal([]qhid.Version{2}))
+		text, err := json.MarshalIndent(story, "", "  ")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(qhgolden.Match("testdata/story.golden"))
+
+		fate, err := f.ExplainPlan(ctx, lost.ID)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(fate.State).To(Equal(qhplan.Refused))
+		Expect(fate.Why).To(ContainSubstring(`both touch service "booking"`))
+		Expect(fate.Rivals).To(HaveLen(2))
+		Expect(f.ExplainPlan(ctx, late.ID)).To(And(HaveField("State", qhplan.InEffect), HaveField("Version", qhid.Version(3))))
+		open := f.plan(ctx, "orders", orders)
+		Expect(f.ExplainPlan(ctx, open.ID)).To(HaveField("State", qhplan.Open))
+		_, err = f.ExplainVersion(ctx, 4)
+		Expect(qherr.KindOf(err)).To(Equal(qherr.NotFound))
+	})
+
+	It("lists the versions, the newest first", func(ctx SpecContext) {
+		f := newFixture(nil)
+		Expect(f.History(ctx, 5)).To(BeEmpty())
+		f.open(ctx)
+		Expect(f.Confirm(ctx, f.plan(ctx, "fewer", slots).ID, "amara")).To(HaveField("Version", qhid.Version(2)))
+		records, err := f.History(ctx, 5)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(records).To(HaveLen(2))
+		Expect(records[0]).To(And(HaveField("Version", qhid.Version(2)), HaveField("Author", "amara"), HaveField("Reason", "fewer")))
+	})
+})
--- /dev/null
+++ b/qhplan/race_test.go
@@ -0,0 +1,238 @@
+package qhplan_test
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhgroup"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhintent"
+	"quetzalhaven.dev/qhplatform"
+)
+
+// confirm is one operation of the history: the confirm of a plan that sets the
+// slots of a service.
+type confirm struct {
+	plan    qhid.Plan
+	base    qhid.Version
+	service qhid.Service
+}
+
+// outcome is what the operator was told.
+type outcome struct {
+	version qhid.Version
+	before  bool
+	kind    qherr.Kind // empty for success
+}
+
+// made is one version of the model.
+type made struct {
+	plan    qhid.Plan
+	service qhid.Service
+}
+
+// versions has what each version after the first changed, version v at v-2.
+type versions []made
+
+// confirmModel says that a plan takes effect at most once, from its base or
+// over versions that touch nothing of it, that an operator who is told a
+// version gets that one, and that one who is told of a refusal or of an outage
+// is told the truth.
+func confirmModel() porcupine.Model {
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{versions(nil)} },
+		Step: func(state, input, output any) []any {
+			return step(state.(versions), input.(confirm), output.(outcome))
+		},
+		Equal: func(a, b any) bool { return slices.Equal(a.(versions), b.(versions)) },
+		DescribeOperation: func(input, output any) string {
+			return fmt.Sprintf("%+v -> %+v", input, output)
+		},
+	}
+	return model.ToModel()
+}
+
+func step(state versions, in confirm, out outcome) []any {
+	at := slices.IndexFunc(state, func(m made) bool { return m.plan == in.plan })
+	next := append(slices.Clone(state), made{in.plan, in.service})
+	if int(in.base)-1 > len(state) {
+		return nil // its base is still to come
+	}
+	allowed := at < 0 && !slices.ContainsFunc(state[in.base-1:], func(m made) bool { return m.service == in.service })
+	switch out.kind {
+	case "":
+		if at >= 0 && out.version == qhid.Version(at+2) {
+			return []any{state}
+		}
+		if allowed && !out.before && out.version == qhid.Version(len(next)+1) {
+			return []any{next}
+		}
+		return nil
+	case qherr.Conflict:
+		if at < 0 && !allowed {
+			return []any{state}
+		}
+		return nil
+	case qherr.Unknown:
+		if allowed {
+			return []any{state, next}
+		}
+		return []any{state}
+	case qherr.Unavailable: // nothing was changed
+		return []any{state}
+	default: // nothing else is true of these plans
+		return nil
+	}
+}
+
+const (
+	racers   = 4
+	rounds   = 6
+	services = 3
+)
+
+// race is one run of operators that confirm each other's plans.
+type race struct {
+	memory *qhplatform.Memory
+
+	mu    sync.Mutex
+	clock int64
+	plans []confirm
+	ops   []porcupine.Operation
+}
+
+func (r *race) tick() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.clock++
+	return r.clock
+}
+
+// operator plans and confirms, sometimes the plan of another, and sometimes
+// gives up before the answer.
+func (r *race) operator(ctx context.Context, id int, random *rand.Rand) {
+	f := newFixtureOn(r.memory, nil)
+	for round := range rounds {
+		r.plan(ctx, f, id, round, random)
+		time.Sleep(time.Duration(random.IntN(30)) * time.Millisecond)
+		for range 2 {
+			r.confirm(ctx, f, id, random)
+		}
+	}
+}
+
+func (r *race) plan(ctx context.Context, f fixture, id, round int, random *rand.Rand) {
+	service := qhid.Service(fmt.Sprintf("service-%05d", random.IntN(services)))
+	value := 100 + 100*id + round
+	plan, err := f.Plan(ctx, "operator", qhintent.File{Reason: "race", Intents: []qhintent.Intent{{Do: qhintent.Limit, Service: service, Slots: &value}}})
+	if err != nil {
+		return // the platform was down
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.plans = append(r.plans, confirm{plan: plan.ID, base: plan.Base, service: service})
+}
+
+func (r *race) confirm(ctx context.Context, f fixture, id int, random *rand.Rand) {
+	r.mu.Lock()
+	if len(r.plans) == 0 {
+		r.mu.Unlock()
+		return
+	}
+	in := r.plans[len(r.plans)-1-random.IntN(min(len(r.plans), 4))]
+	r.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(5+random.IntN(200))*time.Millisecond)
+	defer cancel()
+	call := r.tick()
+	confirmed, err := f.Confirm(ctx, in.plan, "operator")
+	out := outcome{version: confirmed.Version, before: confirmed.Before}
+	if err != nil {
+		out.kind = qherr.KindOf(err)
+	}
+	end := r.tick()
+	if out.kind == qherr.Unknown {
+		end = math.MaxInt64 // it may take effect any time later
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ops = append(r.ops, porcupine.Operation{ClientId: id, Input: in, Call: call, Output: out, Return: end})
+}
+
+// disturb switches faults on and off.
+func (r *race) disturb(ctx context.Context, random *rand.Rand) {
+	for ctx.Err() == nil {
+		faults := []qhplatform.Faults{
+			{},
+			{Lost: 1 + random.IntN(3), Prefix: "head"},
+			{Delay: qhconfig.Duration(time.Duration(random.IntN(40)) * time.Millisecond)},
+			{Down: true},
+			{Lost: qhplatform.Every},
+		}
+		r.memory.SetFaults(faults[random.IntN(len(faults))])
+		time.Sleep(time.Duration(5+random.IntN(40)) * time.Millisecond)
+	}
+}
+
+func TestRacingConfirmsAreLinearizable(t *testing.T) {
+	kinds := make(map[qherr.Kind]int)
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			r := runRace(t, seed)
+			for _, op := range r.ops {
+				kinds[op.Output.(outcome).kind]++
+			}
+			if !porcupine.CheckOperations(confirmModel(), r.ops) {
+				t.Errorf("seed %d: the confirms are not linearizable: %+v", seed, r.ops)
+			}
+		})
+	}
+	t.Logf("confirms by outcome: %v", kinds)
+	for _, kind := range []qherr.Kind{"", qherr.Conflict, qherr.Unknown, qherr.Unavailable} {
+		if kinds[kind] == 0 {
+			t.Errorf("no confirm ended with %q: %v", kind, kinds)
+		}
+	}
+}
+
+func runRace(t *testing.T, seed uint64) *race {
+	r := &race{memory: qhplatform.NewMemory(qhplatform.MemoryOptions{})}
+	f := newFixtureOn(r.memory, nil)
+	var first qhintent.File
+	for i := range services {
+		first.Intents = append(first.Intents, qhintent.Intent{Do: qhintent.Add, Service: qhid.Service(fmt.Sprintf("service-%05d", i))})
+	}
+	plan, err := f.Plan(t.Context(), "operator", first)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.Confirm(t.Context(), plan.ID, "operator"); err != nil {
+		t.Fatal(err)
+	}
+	operators, wait := qhgroup.New(t.Context())
+	done := make(chan struct{}, racers)
+	for id := range racers {
+		operators.Go(func(ctx context.Context) {
+			r.operator(ctx, id, rand.New(rand.NewPCG(seed, uint64(id))))
+			done <- struct{}{}
+		})
+	}
+	faults, stop := qhgroup.New(t.Context())
+	faults.Go(func(ctx context.Context) { r.disturb(ctx, rand.New(rand.NewPCG(seed, racers))) })
+	for range racers {
+		<-done
+	}
+	stop()
+	wait()
+	return r
+}
--- /dev/null
+++ b/qhplan/rebase_test.go
@@ -0,0 +1,78 @@
+package qhplan
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhsample"
+)
+
+// drawEdit returns a checked configuration that differs from base in a few
+// entries, so that two edits often have something in common and often not.
+func drawEdit(t *rapid.T, base qhconfig.Config, label string) qhconfig.Config {
+	next := base.Ordered()
+	for range rapid.IntRange(1, 2).Draw(t, label+" edits") {
+		i := rapid.IntRange(0, len(next.Services)-1).Draw(t, label+" service")
+		if len(next.Routes) == 0 || rapid.Bool().Draw(t, label+" edits a service") {
+			next.Services[i].Slots += rapid.IntRange(1, 3).Draw(t, label+" slots")
+			continue
+		}
+		route := rapid.IntRange(0, len(next.Routes)-1).Draw(t, label+" route")
+		next.Routes[route].Shares = []qhconfig.Share{{Service: next.Services[i].Name, Percent: 100}}
+	}
+	return next
+}
+
+func planOf(id string, base, next qhconfig.Config) Plan {
+	return Plan{ID: "p1-000000000001", Base: 1, Author: id, Diff: qhconfig.Compare(base, next)}
+}
+
+func TestRebaseIsSymmetricAndKeepsBothPlans(t *testing.T) {
+	rebased, refused := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		base := qhsample.Draw(t, "base")
+		first, second := drawEdit(t, base, "first"), drawEdit(t, base, "second")
+		firstPlan, secondPlan := planOf("first", base, first), planOf("second", base, second)
+		one, err := secondPlan.rebase(base, first, 2)
+		other, otherErr := firstPlan.rebase(base, second, 2)
+		if (err == nil) != (otherErr == nil) {
+			t.Fatalf("refused one way only: %v, %v", err, otherErr)
+		}
+		if err != nil {
+			refused++
+			if !qherr.Is(err, qherr.Conflict) {
+				t.Fatalf("%v is no conflict", err)
+			}
+			return
+		}
+		rebased++
+		if one.Digest() != other.Digest() {
+			t.Fatalf("the order of two plans with nothing in common matters")
+		}
+		for _, diff := range []qhconfig.Diff{firstPlan.Diff, secondPlan.Diff} {
+			if diff.Merge(one).Digest() != one.Digest() {
+				t.Fatalf("a plan is not whole in the result")
+			}
+		}
+		expectShares(t, one, first, firstPlan.Diff)
+		expectShares(t, one, second, secondPlan.Diff)
+	})
+	if rebased == 0 || refused == 0 {
+		t.Fatalf("%d rebased and %d refused: both have to be seen", rebased, refused)
+	}
+}
+
+// expectShares fails where a service that a plan's routes send calls to is not
+// what the operator saw.
+func expectShares(t *rapid.T, result, seen qhconfig.Config, diff qhconfig.Diff) {
+	for _, route := range diff.Routes {
+		for _, share := range route.Shares {
+			if !result.FindService(share.Service).Equal(seen.FindService(share.Service)) {
+				t.Fatalf("route %s sends calls to a service %s that its plan did not see", route.Name, share.Service)
+			}
+		}
+	}
+}
