--- /dev/null
+++ b/qhnode/qhserve/node.go
@@ -0,0 +1,234 @@
+// Package qhserve puts the parts of a node together and runs them until the
+// node is told to stop.
+package qhserve
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"quetzalhaven.dev/qhannounce"
+	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhgroup"
+	"quetzalhaven.dev/qhguard"
+	"quetzalhaven.dev/qhhead"
+	"quetzalhaven.dev/qhhold"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
+	"quetzalhaven.dev/qhoperate"
+	"quetzalhaven.dev/qhplatform"
+	"quetzalhaven.dev/qhproxy"
+	"quetzalhaven.dev/qhsetting"
+	"quetzalhaven.dev/qhspread"
+)
+
+const (
+	// announceLapse is after how long without an announcement a target is dropped.
+	announceLapse = 3 * time.Second
+	// sweepPeriod is how often lapsed targets are looked for.
+	sweepPeriod = 500 * time.Millisecond
+	// viewPause is the shortest time between two views of the members.
+	viewPause = 50 * time.Millisecond
+	// leaveBound bounds telling the others that the node is gone.
+	leaveBound = 2 * time.Second
+	// platformRate is how often a second a node calls the platform at most.
+	platformRate = 50
+)
+
+// Options configures a node.
+type Options struct {
+	Settings qhsetting.Node
+	// Build tells which build runs.
+	Build string
+	Log   *zap.Logger
+}
+
+// Node is one running node.
+type Node struct {
+	Options
+
+	started  time.Time
+	metrics  *metrics.Set
+	holder   *qhhold.Holder
+	members  *qhmember.Table
+	guards   *qhguard.Set
+	targets  *qhannounce.Registry
+	ring     *qhdecision.Ring
+	proxy    *qhproxy.Proxy
+	spreader *qhspread.Spreader
+	group    *qhgroup.Group
+	servers  []*http.Server
+	// drained is closed by the first drain through the operators' API.
+	drained chan struct{}
+	// failed has the first listener that ended by itself.
+	failed chan error
+
+	mu sync.Mutex
+	// state is what the node announces of itself.
+	state qhmember.State
+}
+
+// Run serves until the context ends or an operator drains the node, then stops
+// without cutting calls. The errors have the kinds of qherr.
+func Run(ctx context.Context, options Options) error {
+	node, cleanup, err := New(options)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	select {
+	case <-ctx.Done():
+	case <-node.drained:
+	case err = <-node.failed:
+	}
+	node.Stop(context.WithoutCancel(ctx))
+	return err
+}
+
+// New starts a node and returns it with its clean-up. A listener that can't be
+// opened is of kind Unavailable.
+func New(options Options) (*Node, func(), error) {
+	listeners, closeListeners, err := listen(options.Settings.Listen)
+	if err != nil {
+		return nil, nil, err
+	}
+	node := &Node{
+		Options: options,
+		started: time.Now(),
+		metrics: metrics.NewSet(),
+		ring:    qhdecision.NewRing(options.Settings.Calls.Decisions),
+		drained: make(chan struct{}),
+		failed:  make(chan error, 1),
+		state:   qhmember.Up,
+	}
+	var stops cleanups
+	stops.add(closeListeners)
+	group, stopGroup := qhgroup.New(context.Background())
+	node.group = group
+	stops.add(stopGroup)
+	if err := node.start(listeners, &stops); err != nil {
+		stops.run()
+		return nil, nil, err
+	}
+	node.Log.Info("node started", zap.String("node", string(node.Settings.ID)), zap.String("zone", string(node.Settings.Zone)), zap.String("build", node.Build))
+	return node, stops.run, nil
+}
+
+// start starts the parts in the order in which they need each other.
+func (n *Node) start(listeners listeners, stops *cleanups) error {
+	settings := n.Settings
+	self := n.entry()
+	store, closeStore := qhplatform.NewHTTP(qhplatform.HTTPOptions{Base: settings.Platform, Rate: platformRate, Metrics: n.metrics, Log: n.Log})
+	stops.add(closeStore)
+	n.holder = qhhold.New(qhhold.Options{Node: settings.ID, Log: n.Log, Metrics: n.metrics})
+	n.members = qhmember.NewTable(qhmember.Options{Self: self, Pause: viewPause})
+	spreader, stopSpreader, err := qhspread.New(n.group.Context(), qhspread.Options{
+		Self:      self,
+		Operators: settings.Announced().Operators,
+		Settings:  settings.Spread,
+		Seeds:     settings.Seeds,
+		Store:     store,
+		Chain:     qhhead.New(qhhead.Options{Store: store}),
+		Holder:    n.holder,
+		Members:   n.members,
+		Listener:  listeners.peers,
+		Log:       n.Log,
+		Metrics:   n.metrics,
+	})
+	if err != nil {
+		return err
+	}
+	n.spreader = spreader
+	stops.add(stopSpreader)
+	n.startProxy(&store, stops)
+	n.startTargets()
+	n.serve(listeners)
+	return nil
+}
+
+// startProxy starts the path of a call.
+func (n *Node) startProxy(store *qhplatform.Store, stops *cleanups) {
+	guards, closeGuards := qhguard.NewSet()
+	n.guards = guards
+	stops.add(closeGuards)
+	proxy, stopProxy := qhproxy.New(qhproxy.Options{
+		Self:     n.Settings.ID,
+		Zone:     n.Settings.Zone,
+		Settings: n.Settings.Calls,
+		Snapshot: n.holder.Current,
+		View:     n.members.View,
+		Local:    guards.Get,
+		Ring:     n.ring,
+		Log:      n.Log,
+		Metrics:  n.metrics,
+		Store:    store,
+	})
+	n.proxy = proxy
+	stops.add(stopProxy)
+}
+
+// startTargets takes announcements and drops those that lapse.
+func (n *Node) startTargets() {
+	n.targets = qhannounce.NewRegistry(qhannounce.Options{
+		Lapse:   announceLapse,
+		Now:     time.Now,
+		Changed: n.targetsChanged,
+		Log:     n.Log,
+	})
+	n.group.Every(sweepPeriod, func(context.Context) { n.targets.Sweep() })
+}
+
+// entry returns what the node first announces of itself. A VM that is replaced
+// starts with a later incarnation; where its clock is behind, the members'
+// answer raises it.
+func (n *Node) entry() qhmember.Entry {
+	announced := n.Settings.Announced()
+	return qhmember.Entry{
+		Node:        n.Settings.ID,
+		Zone:        n.Settings.Zone,
+		Peers:       announced.Peers,
+		Calls:       announced.Calls,
+		Incarnation: qhid.Incarnation(n.started.UnixMilli()),
+		Sequence:    1,
+		State:       qhmember.Up,
+	}
+}
+
+// Ready returns nil when the node takes calls, else why not.
+func (n *Node) Ready() error {
+	if n.isLeaving() {
+		return qherr.New(qherr.Unavailable, nil, "call another node", "node %s is leaving", n.Settings.ID)
+	}
+	select {
+	case <-n.spreader.Ready():
+	default:
+		return qherr.New(qherr.Unavailable, nil, "wait", "node %s still asks platform and peers for the newest version", n.Settings.ID)
+	}
+	if n.holder.Current() == nil {
+		return qherr.New(qherr.Unavailable, nil, "confirm a first plan, or check that the platform or a peer can be reached", "node %s holds no configuration", n.Settings.ID)
+	}
+	return nil
+}
+
+// Stop refuses new calls, tells the others, waits for the calls in flight and
+// closes the listeners.
+func (n *Node) Stop(ctx context.Context) {
+	n.Log.Info("node stops", zap.Duration("grace", time.Duration(n.Settings.Calls.Grace)))
+	n.leave()
+	drained := n.proxy.Drain(ctx)
+	ctx, cancel := context.WithTimeout(ctx, leaveBound)
+	defer cancel()
+	for _, server := range n.servers {
+		if err := server.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+			n.Log.Warn("listener did not close", zap.Error(err))
+		}
+	}
+	n.spreader.Leave(ctx)
+	n.Log.Info("node stopped", zap.Int("cut", drained.Cut))
+}
