--- /dev/null
+++ b/qhbalance/choose.go
@@ -0,0 +1,228 @@
+// Package qhbalance chooses the target of a call: the better of two random
+// endpoints by what the node has itself seen of them, in its own availability
+// zone first. What targets report of themselves is a hint only.
+package qhbalance
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
+)
+
+const (
+	// samples bounds the random endpoints that are looked at before all are.
+	samples = 8
+	// spillPercent is how full, in hundredths of its slots, the better endpoint
+	// of the own availability zone is when others are considered.
+	spillPercent = 80
+	// coldPercent is the part of its share that a cold target gets.
+	coldPercent = 10
+	// slowStart is how long a new target takes to get its whole share.
+	slowStart = 10 * time.Second
+	// minLatency keeps endpoints without a latency comparable.
+	minLatency = 100 * time.Microsecond
+	// defaultSlots is for a target that announces none.
+	defaultSlots = 8
+)
+
+// Balancer chooses endpoints and keeps the evidence about them.
+type Balancer struct {
+	pools pools
+	// random returns a number in [0, n).
+	random func(n int) int
+}
+
+// Options are the options of a balancer.
+type Options struct {
+	// Zone is the node's own availability zone.
+	Zone qhid.Zone
+	// Random returns a number in [0, n); nil is math/rand.
+	Random func(n int) int
+}
+
+// New returns a balancer.
+func New(options Options) *Balancer {
+	random := options.Random
+	if random == nil {
+		random = rand.IntN
+	}
+	return &Balancer{pools: pools{zone: options.Zone}, random: random}
+}
+
+// Tried lists the endpoints that a call was already sent to. The zero value is
+// empty.
+type Tried struct {
+	list [maxTried]*qhmember.Endpoint
+	size int
+}
+
+// maxTried is the largest number of attempts of one call.
+const maxTried = 4
+
+// Add notes an endpoint.
+func (t *Tried) Add(endpoint *qhmember.Endpoint) {
+	if t.size < maxTried {
+		t.list[t.size] = endpoint
+		t.size++
+	}
+}
+
+func (t *Tried) has(endpoint *qhmember.Endpoint) bool {
+	return slices.Contains(t.list[:t.size], endpoint)
+}
+
+// Choice is the endpoint that was chosen and why.
+type Choice struct {
+	Endpoint *qhmember.Endpoint
+	// Other is the one that it was preferred to, or nil.
+	Other  *qhmember.Endpoint
+	Reason qhdecision.Reason
+}
+
+// pick is what one choice needs to know.
+type pick struct {
+	balancer *Balancer
+	pool     *pool
+	service  *qhconfig.Service
+	tried    *Tried
+	now      time.Time
+	// panicking ignores ejections and lost nodes.
+	panicking bool
+}
+
+// Choose returns the endpoint for a call of the service, or false where no
+// endpoint takes work that was not tried before.
+func (b *Balancer) Choose(view *qhmember.View, service *qhconfig.Service, tried *Tried, now time.Time) (Choice, bool) {
+	pool := b.pools.of(view, service.Name)
+	p := pick{balancer: b, pool: pool, service: service, tried: tried, now: now, panicking: pool.panics(now)}
+	near := p.better(pool.near)
+	if near.Endpoint != nil && fullness(near.Endpoint, now) < spillPercent {
+		near.Reason = p.reason(qhdecision.OwnZone)
+		return near, true
+	}
+	far := p.better(pool.far)
+	if near.Endpoint == nil {
+		far.Reason = p.reason(qhdecision.OtherZone)
+		return far, far.Endpoint != nil
+	}
+	if far.Endpoint != nil && fullness(far.Endpoint, now) < spillPercent {
+		far.Reason, far.Other = qhdecision.SpillOver, near.Endpoint
+		return far, true
+	}
+	near.Reason = p.reason(qhdecision.OwnZone)
+	return near, true
+}
+
+// reason returns why, or Panic where the evidence was doubted.
+func (p *pick) reason(why qhdecision.Reason) qhdecision.Reason {
+	if p.panicking {
+		return qhdecision.Panic
+	}
+	return why
+}
+
+// better returns the better of two random usable endpoints of the list.
+func (p *pick) better(list []*qhmember.Endpoint) Choice {
+	first := p.sample(list, nil)
+	if first == nil {
+		return Choice{}
+	}
+	second := p.sample(list, first)
+	if second != nil && score(second, p.now) < score(first, p.now) {
+		return Choice{Endpoint: second, Other: first}
+	}
+	return Choice{Endpoint: first, Other: second}
+}
+
+// sample returns a random usable endpoint other than not, or nil. Endpoints
+// that start are passed over as often as their share says.
+func (p *pick) sample(list []*qhmember.Endpoint, not *qhmember.Endpoint) *qhmember.Endpoint {
+	if len(list) == 0 {
+		return nil
+	}
+	for range samples {
+		endpoint := list[p.balancer.random(len(list))]
+		if endpoint == not || !p.usable(endpoint) {
+			continue
+		}
+		if warm := warmth(endpoint, p.now); warm >= 100 || p.balancer.random(100) < warm {
+			return endpoint
+		}
+	}
+	if not != nil {
+		return nil
+	}
+	return p.scan(list)
+}
+
+// scan returns the warmest usable endpoint from a random place on, or nil.
+func (p *pick) scan(list []*qhmember.Endpoint) *qhmember.Endpoint {
+	start := p.balancer.random(len(list))
+	var best *qhmember.Endpoint
+	for i := range list {
+		endpoint := list[(start+i)%len(list)]
+		if !p.usable(endpoint) {
+			continue
+		}
+		if best == nil || warmth(endpoint, p.now) > warmth(best, p.now) {
+			best = endpoint
+		}
+	}
+	return best
+}
+
+// usable tells whether the endpoint may get this call.
+func (p *pick) usable(endpoint *qhmember.Endpoint) bool {
+	if !takesWork(endpoint) || p.tried.has(endpoint) {
+		return false
+	}
+	if _, retired := slices.BinarySearch(p.service.Retired, endpoint.ID); retired {
+		return false
+	}
+	return p.panicking || (!endpoint.Lost && !ejected(endpoint, p.now))
+}
+
+// warmth returns the part of its share that an endpoint gets, in hundredths.
+func warmth(endpoint *qhmember.Endpoint, now time.Time) int {
+	if endpoint.State == qhmember.Cold {
+		return coldPercent
+	}
+	started := endpoint.Observed.Started.Load()
+	if started == 0 {
+		return 100
+	}
+	age := now.Sub(time.Unix(0, started))
+	if age >= slowStart {
+		return 100
+	}
+	return max(coldPercent, int(age*100/slowStart))
+}
+
+// slots returns the slots of an endpoint.
+func slots(endpoint *qhmember.Endpoint) int64 {
+	if endpoint.Slots > 0 {
+		return int64(endpoint.Slots)
+	}
+	return defaultSlots
+}
+
+// score is the expected time to an answer; smaller is better.
+func score(endpoint *qhmember.Endpoint, now time.Time) int64 {
+	latency := max(endpoint.Observed.Latency.Load(), int64(minLatency))
+	return (load(endpoint, now) + 1) * latency / slots(endpoint)
+}
+
+// load returns the calls that the endpoint is believed to have.
+func load(endpoint *qhmember.Endpoint, now time.Time) int64 {
+	return max(endpoint.Observed.InFlight.Load(), hintedLoad(endpoint, now))
+}
+
+// fullness returns the load in hundredths of the slots.
+func fullness(endpoint *qhmember.Endpoint, now time.Time) int64 {
+	return load(endpoint, now) * 100 / slots(endpoint)
+}
--- /dev/null
+++ b/qhbalance/observe.go
@@ -0,0 +1,93 @@
+package qhbalance
+
+import (
+	"time"
+
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
+)
+
+const (
+	// failuresToEject is how many calls in a row have to fail.
+	failuresToEject = 5
+	// ejectBase and ejectMax bound the time of an ejection, which doubles.
+	ejectBase = time.Second
+	ejectMax  = 30 * time.Second
+	// ejectCap bounds the ejected endpoints of a service in hundredths; one
+	// may always be ejected where there are others.
+	ejectCap = 50
+	// panicShare is the share of usable endpoints in hundredths below which
+	// ejections and lost nodes are ignored.
+	panicShare = 50
+	// latencyWeight is the weight of older answers in the moving average.
+	latencyWeight = 7
+	// hintAge is how long a reported load counts; it fades until then.
+	hintAge = 2 * time.Second
+	// hintBits is the size of a load in a packed hint.
+	hintBits = 16
+)
+
+// Succeed notes an answer that took the time.
+func Succeed(endpoint *qhmember.Endpoint, took time.Duration) {
+	observed := endpoint.Observed
+	observed.Failures.Store(0)
+	observed.Ejections.Store(0)
+	old := observed.Latency.Load()
+	if old == 0 {
+		old = int64(took)
+	}
+	// A concurrent answer may be lost from the average, which is harmless.
+	observed.Latency.Store((old*latencyWeight + int64(took)) / (latencyWeight + 1))
+}
+
+// Fail notes a call that failed and tells whether the endpoint was ejected for
+// it, and for how long.
+func (b *Balancer) Fail(view *qhmember.View, service qhid.Service, endpoint *qhmember.Endpoint, now time.Time) (time.Duration, bool) {
+	observed := endpoint.Observed
+	observed.Errors.Add(1)
+	if observed.Failures.Add(1) < failuresToEject || ejected(endpoint, now) {
+		return 0, false
+	}
+	if !mayEject(b.pools.of(view, service).all, now) {
+		return 0, false
+	}
+	old := observed.Ejected.Load()
+	span := min(ejectBase<<min(observed.Ejections.Load(), 5), ejectMax)
+	if !observed.Ejected.CompareAndSwap(old, now.Add(span).UnixNano()) {
+		return 0, false
+	}
+	observed.Ejections.Add(1)
+	observed.Failures.Store(failuresToEject - 1) // the next failure ejects again
+	return span, true
+}
+
+// mayEject tells whether one more ejection stays within the cap.
+func mayEject(all []*qhmember.Endpoint, now time.Time) bool {
+	out := 1
+	for _, endpoint := range all {
+		if ejected(endpoint, now) {
+			out++
+		}
+	}
+	return len(all) > 1 && (out == 1 || out*100 <= len(all)*ejectCap)
+}
+
+// Hint notes the load that a target's node reported.
+func Hint(endpoint *qhmember.Endpoint, load int, now time.Time) {
+	load = min(max(load, 0), 1<<hintBits-1)
+	endpoint.Observed.Hint.Store(now.UnixMilli()<<hintBits | int64(load))
+}
+
+// hintedLoad returns the reported load, which fades with its age.
+func hintedLoad(endpoint *qhmember.Endpoint, now time.Time) int64 {
+	hint := endpoint.Observed.Hint.Load()
+	if hint == 0 {
+		return 0
+	}
+	age := max(now.UnixMilli()-hint>>hintBits, 0)
+	left := hintAge.Milliseconds() - age
+	if left <= 0 {
+		return 0
+	}
+	return (hint & (1<<hintBits - 1)) * left / hintAge.Milliseconds()
+}
--- /dev/null
+++ b/qhconn/peers.go
@@ -0,0 +1,152 @@
+package qhconn
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"quetzalhaven.dev/qhid"
+)
+
+// The bounds of HTTP/2 connections between nodes.
+const (
+	// PingAfter is how long a connection may be quiet before it is pinged.
+	PingAfter = 500 * time.Millisecond
+	// PingTimeout is how long the answer to a ping may take.
+	PingTimeout = time.Second
+	// doubtAfter is how long a connection with calls under way may be quiet
+	// before new calls go over another one.
+	doubtAfter = PingAfter + PingTimeout/4
+	// streamBuffer and connBuffer bound what is received ahead, in bytes. The
+	// connection has room for all its streams, so that none stalls the others.
+	streamBuffer = 256 << 10
+	connBuffer   = MaxStreams * streamBuffer
+	// idlePeer is how long a connection without calls stays open.
+	idlePeer = 10 * time.Second
+	// MaxStreams bounds the calls on one connection.
+	MaxStreams = 250
+)
+
+// HTTP2 returns the settings of HTTP/2 between nodes, for both ends.
+func HTTP2() *http.HTTP2Config {
+	return &http.HTTP2Config{
+		MaxConcurrentStreams:          MaxStreams,
+		MaxReceiveBufferPerStream:     streamBuffer,
+		MaxReceiveBufferPerConnection: connBuffer,
+		SendPingTimeout:               PingAfter,
+		PingTimeout:                   PingTimeout,
+	}
+}
+
+// Peers has the connections to other nodes. A connection that went silent is
+// closed after a ping had no answer, which fails the calls on it.
+type Peers struct {
+	transport *http.Transport
+	addresses sync.Map // of qhid.Address to *peer
+}
+
+// peer has the connections to one node.
+type peer struct {
+	mu    sync.Mutex
+	conns []*peerConn
+}
+
+type peerConn struct {
+	client *http.ClientConn
+	wire   *wire
+	// used is when a call last took the connection.
+	used time.Time
+}
+
+// NewPeers returns the connections to other nodes and a clean-up that closes them.
+func NewPeers() (*Peers, func()) {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	peers := &Peers{transport: &http.Transport{
+		DialContext:            dial,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHeaders,
+		IdleConnTimeout:        idlePeer,
+		Protocols:              &protocols,
+		HTTP2:                  HTTP2(),
+	}}
+	return peers, peers.close
+}
+
+// RoundTrip sends the request once to the node at address. The error is a
+// *DialError where it is certain that nothing was sent.
+func (p *Peers) RoundTrip(address qhid.Address, req *http.Request) (*http.Response, error) {
+	client, err := p.take(req.Context(), address)
+	if err != nil {
+		return nil, err
+	}
+	return client.RoundTrip(req)
+}
+
+// take returns a connection with one stream reserved.
+func (p *Peers) take(ctx context.Context, address qhid.Address) (*http.ClientConn, error) {
+	found, ok := p.addresses.Load(address)
+	if !ok {
+		found, _ = p.addresses.LoadOrStore(address, &peer{})
+	}
+	node := found.(*peer)
+	node.mu.Lock()
+	defer node.mu.Unlock()
+	if client := node.reserve(time.Now()); client != nil {
+		return client, nil
+	}
+	var w *wire
+	client, err := p.transport.NewClientConn(context.WithValue(ctx, wireKey{}, &w), "http", string(address))
+	if err == nil {
+		err = client.Reserve()
+	}
+	if err != nil {
+		return nil, &DialError{Address: address, Cause: err}
+	}
+	node.conns = append(node.conns, &peerConn{client: client, wire: w, used: time.Now()})
+	return client, nil
+}
+
+// reserve reserves a stream of a live connection, or returns nil. Connections
+// that ended are let go of. The lock is held.
+func (n *peer) reserve(now time.Time) *http.ClientConn {
+	kept := n.conns[:0]
+	var chosen *http.ClientConn
+	for _, c := range n.conns {
+		if c.client.Err() != nil {
+			continue
+		}
+		if chosen == nil && !c.doubtful(now) && c.client.Reserve() == nil {
+			chosen = c.client
+			c.used = now
+		} else if c.client.Available() == 0 && c.client.InFlight() == 0 {
+			_ = c.client.Close()
+			continue
+		}
+		kept = append(kept, c)
+	}
+	clear(n.conns[len(kept):])
+	n.conns = kept
+	return chosen
+}
+
+// doubtful tells whether the connection has had no byte for so long, with calls
+// under way, that an answer to a ping is overdue.
+func (c *peerConn) doubtful(now time.Time) bool {
+	quiet := now.Sub(time.Unix(0, c.wire.heard.Load()))
+	return quiet > doubtAfter && c.client.InFlight() > 0
+}
+
+func (p *Peers) close() {
+	p.addresses.Range(func(_, value any) bool {
+		node := value.(*peer)
+		node.mu.Lock()
+		defer node.mu.Unlock()
+		for _, c := range node.conns {
+			_ = c.client.Close()
+		}
+		node.conns = nil
+		return true
+	})
+}
--- a/qhheader/qhheader.go
+++ b/qhheader/qhheader.go
@@ -40,6 +40,8 @@
 	NodeRoute = Internal + "Route"
 	// NodeVersion is the configuration version that the sender decided on.
 	NodeVersion = Internal + "Version"
+	// NodeSilence bounds the wait for the first byte of the answer, in seconds.
+	NodeSilence = Internal + "Silence"
 	// NodeLoad is how many calls the target has running and queued.
 	NodeLoad = Internal + "Load"
 )
--- a/qhmember/observed.go
+++ b/qhmember/observed.go
@@ -15,6 +15,9 @@
 	Ejected atomic.Int64
 	// Ejections counts ejections in a row; each lasts longer than the one before.
 	Ejections atomic.Int64
+	// Hint is the load that the target's node last reported: milliseconds of the
+	// Unix epoch in the upper 48 bits, calls in the lower 16; 0 for none.
+	Hint atomic.Int64
 	// Started is when the endpoint was first seen, in nanoseconds of the Unix epoch.
 	Started atomic.Int64
 	// Calls, Refusals and Errors count what was seen since the endpoint is known.
--- /dev/null
+++ b/qhproxy/call_test.go
@@ -0,0 +1,72 @@
+package qhproxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhheader"
+)
+
+var _ = Describe("a call", func() {
+	var f *fleet
+	ctx := context.Background()
+	BeforeEach(func() {
+		f = newFleet(GinkgoTB(), route("urns", "/urns", "booking"))
+		f.node("a1", "kigali-a")
+		f.node("b1", "kigali-b")
+	})
+
+	DescribeTable("gets the whole answer", func(on string) {
+		f.target("t1", "booking", f.nodes["a1"].proxy.Self, 9, func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			w.Header().Set("Trailer", "Sum")
+			w.Header().Set("Saw", fmt.Sprint(r.Header.Get(qhheader.NodeTarget), r.Host, r.URL.RequestURI()))
+			w.WriteHeader(http.StatusCreated)
+			fmt.Fprintf(w, "%s %s", r.Header.Get(qhheader.RequestID), body)
+			w.Header().Set("Sum", "17")
+			w.Header().Set(http.TrailerPrefix+"Late", "yes")
+		})
+		node := f.nodes["a1"]
+		if on == "other" {
+			node = f.nodes["b1"]
+		}
+		got := do(ctx, node, "POST", "/urns/oak%2Fred?x=1", "r1", strings.NewReader("two"), func(r *http.Request) {
+			r.Host = "booking.example"
+			r.Header.Set(qhheader.NodeTarget, "forged")
+		})
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.status).To(Equal(http.StatusCreated))
+		Expect(got.body).To(Equal("r1 two"))
+		Expect(got.header.Get("Saw")).To(Equal("booking.example/urns/oak%2Fred?x=1"))
+		Expect(got.trailer).To(Equal(http.Header{"Sum": {"17"}, "Late": {"yes"}}))
+		Expect(got.header).NotTo(HaveKey(qhheader.NodeLoad))
+		Expect(node.ring.Find("r1")[0].Kind).To(Equal(qhdecision.Chosen))
+	}, Entry("on its target's node", "own"), Entry("over another node", "other"))
+
+	It("without a route is told by the mesh", func() {
+		got := do(ctx, f.nodes["a1"], "GET", "/coffins", "r1", nil)
+		Expect(got.status).To(Equal(http.StatusNotFound))
+		Expect(got.header.Get(qhheader.Outcome)).To(Equal(qhheader.NotRun))
+		Expect(got.header.Get(qhheader.Reason)).To(Equal("no-route"))
+	})
+
+	DescribeTable("that breaks off looks broken", func(on qhconfig.Repeat) {
+		f.target("t1", "booking", "b1", 9, func(w http.ResponseWriter, _ *http.Request) {
+			w.Write(make([]byte, 100_000))
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		for _, n := range []*node{f.nodes["a1"], f.nodes["b1"]} {
+			got := do(ctx, n, "GET", "/urns", "r1", nil)
+			Expect(got.err).To(HaveOccurred())
+		}
+	}, Entry("", qhconfig.RepeatNever))
+})
--- /dev/null
+++ b/qhproxy/callers.go
@@ -0,0 +1,169 @@
+package qhproxy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"quetzalhaven.dev/qhbalance"
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qhdeadline"
+	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhheader"
+	"quetzalhaven.dev/qhhold"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
+	"quetzalhaven.dev/qhroute"
+)
+
+const (
+	// maxAttempts bounds how often one call is sent, with the first time.
+	maxAttempts = 3
+	// maxRequestID bounds the length of a caller's request id.
+	maxRequestID = 128
+	// writeGrace is how long after its deadline a call may still be written.
+	writeGrace = time.Second
+)
+
+// call is one call of a caller.
+type call struct {
+	proxy    *Proxy
+	in       *http.Request
+	body     *requestBody
+	id       qhid.Request
+	snapshot *qhhold.Snapshot
+	view     *qhmember.View
+	route    *qhconfig.Route
+	service  *qhconfig.Service
+	tried    qhbalance.Tried
+	// attempt counts from 1.
+	attempt int
+}
+
+// serveCaller takes a call of a caller and finds it a target.
+func (p *Proxy) serveCaller(w http.ResponseWriter, r *http.Request) {
+	p.counts.calls.Inc()
+	c := &call{proxy: p, in: r, id: requestID(r)}
+	w.Header().Set(qhheader.RequestID, string(c.id))
+	deadline, f := c.prepare(w)
+	if f != nil {
+		p.refuse(w, f, c.decision())
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), deadline)
+	defer cancel()
+	a, f := c.send(ctx)
+	if f != nil {
+		p.refuse(w, f, c.decision())
+		return
+	}
+	p.pass(w, a, c.decision())
+}
+
+// prepare checks the call, finds its route and service, and reads a small body.
+// It returns the call's deadline.
+func (c *call) prepare(w http.ResponseWriter) (time.Time, *failure) {
+	start := time.Now()
+	if f := c.check(); f != nil {
+		return start, f
+	}
+	if f := c.match(); f != nil {
+		return start, f
+	}
+	left, f := c.proxy.timeLeft(c.in, time.Duration(c.route.Timeout))
+	if f != nil {
+		return start, f
+	}
+	deadline := start.Add(left)
+	return deadline, c.readBody(w, deadline)
+}
+
+// check refuses what no route takes, and drops headers that callers may not set.
+func (c *call) check() *failure {
+	if c.proxy.leaving.Load() {
+		return notRun(qhdecision.Leaving, http.StatusServiceUnavailable, defaultAfter, "this node is leaving; use another one")
+	}
+	if c.in.Method == http.MethodConnect || upgrades(c.in) {
+		return notRun(qhdecision.Upgrade, http.StatusNotImplemented, 0, "the mesh carries no other protocols; send plain HTTP")
+	}
+	dropHop(c.in.Header)
+	dropMesh(c.in.Header)
+	c.in.Header.Set(qhheader.RequestID, string(c.id))
+	return nil
+}
+
+// match finds the route and the service of the call.
+func (c *call) match() *failure {
+	c.snapshot, c.view = c.proxy.Snapshot(), c.proxy.View()
+	if c.snapshot == nil {
+		return notRun(qhdecision.NoConfig, http.StatusServiceUnavailable, defaultAfter, "this node has no configuration yet")
+	}
+	c.route = c.snapshot.Index.Match(hostOf(c.in.Host), c.in.Method, c.in.URL.Path)
+	if c.route == nil {
+		return notRun(qhdecision.NoRoute, http.StatusNotFound, 0, "the mesh has no route for "+describe(c.in)+"; check host, path and method")
+	}
+	name := qhroute.Choose(c.route, c.proxy.random(100))
+	c.service = c.snapshot.Services[name]
+	if c.service == nil {
+		return notRun(qhdecision.NoTarget, http.StatusServiceUnavailable, defaultAfter, "the route names no service")
+	}
+	return nil
+}
+
+// readBody bounds the body and reads a small one whole.
+func (c *call) readBody(w http.ResponseWriter, deadline time.Time) *failure {
+	bound := int64(c.proxy.Settings.Body)
+	if c.route.Body > 0 {
+		bound = int64(c.route.Body)
+	}
+	if c.in.ContentLength > bound {
+		return notRun(qhdecision.TooLarge, http.StatusRequestEntityTooLarge, 0, "the body is larger than the route allows")
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(deadline.Add(writeGrace)) // a writer without deadlines is bounded by the call's own
+	if c.in.ContentLength != 0 {
+		_ = control.SetReadDeadline(deadline.Add(writeGrace))
+		c.in.Body = http.MaxBytesReader(w, c.in.Body, bound)
+	}
+	body, err := newRequestBody(c.in)
+	if err != nil {
+		return notRun(qhdecision.BadBody, http.StatusBadRequest, 0, err.Error())
+	}
+	if body.stream != nil && c.in.ProtoMajor == 1 {
+		_ = control.EnableFullDuplex() // the target may answer while the body is still sent
+	}
+	c.body = body
+	return nil
+}
+
+// silence bounds the wait for the first byte of the answer.
+func (c *call) silence() time.Duration {
+	if c.route.Silence > 0 {
+		return time.Duration(c.route.Silence)
+	}
+	return qhdeadline.Shortest(time.Duration(c.proxy.Settings.Silence))
+}
+
+// decision returns what is known of the call so far.
+func (c *call) decision() qhdecision.Decision {
+	d := qhdecision.Decision{Request: c.id, Attempt: c.attempt}
+	if c.snapshot != nil {
+		d.Version = c.snapshot.Version
+	}
+	if c.route != nil {
+		d.Route = c.route.Name
+	}
+	if c.service != nil {
+		d.Service = c.service.Name
+	}
+	return d
+}
+
+// requestID returns the caller's id for the call, or a new one.
+func requestID(r *http.Request) qhid.Request {
+	id := r.Header.Get(qhheader.RequestID)
+	if id == "" || len(id) > maxRequestID {
+		return qhid.NewRequest()
+	}
+	return qhid.Request(id)
+}
--- /dev/null
+++ b/qhproxy/failure.go
@@ -0,0 +1,84 @@
+package qhproxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"quetzalhaven.dev/qhconn"
+	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhguard"
+	"quetzalhaven.dev/qhheader"
+)
+
+// statusGone is for callers that no longer wait; nobody reads it.
+const statusGone = 499
+
+// defaultAfter is when to come back where nothing better is known.
+const defaultAfter = time.Second
+
+// errSilent ends a call whose target sent no byte of an answer in time.
+var errSilent = errors.New("the target sent no answer in time") //nolint:gochecknoglobals // a sentinel
+
+// failure is a call that has no whole answer of a target.
+type failure struct {
+	Reason qhdecision.Reason
+	// Outcome is NotRun only where no byte of the call was given to a target.
+	Outcome string
+	Status  int
+	// After is when to come back; 0 for never.
+	After time.Duration
+	// Detail is for people.
+	Detail string
+}
+
+func notRun(reason qhdecision.Reason, status int, after time.Duration, detail string) *failure {
+	return &failure{Reason: reason, Outcome: qhheader.NotRun, Status: status, After: after, Detail: detail}
+}
+
+func unknown(reason qhdecision.Reason, status int, detail string) *failure {
+	return &failure{Reason: reason, Outcome: qhheader.Unknown, Status: status, Detail: detail}
+}
+
+// refusedBy is the failure for a refusal of a guard.
+func refusedBy(err error) *failure {
+	refusal := &qhguard.Refusal{Reason: qhdecision.Busy, After: defaultAfter}
+	_ = errors.As(err, &refusal) // a guard returns nothing else
+	status := http.StatusServiceUnavailable
+	if refusal.Reason == qhdecision.Gone {
+		status = statusGone
+	}
+	return notRun(refusal.Reason, status, refusal.After, refusal.Error())
+}
+
+// failureOf classifies the error of a round trip whose context is ctx. Only
+// what is proved not to have been sent counts as not run.
+func failureOf(ctx context.Context, err error) *failure {
+	reason, status := classify(ctx, err)
+	if qhconn.IsUnsent(err) {
+		return notRun(reason, status, defaultAfter, err.Error())
+	}
+	return unknown(reason, status, err.Error())
+}
+
+func classify(ctx context.Context, err error) (qhdecision.Reason, int) {
+	var tooLarge *http.MaxBytesError
+	var broken *bodyError
+	switch cause := context.Cause(ctx); {
+	case errors.As(err, &tooLarge):
+		return qhdecision.TooLarge, http.StatusRequestEntityTooLarge
+	case errors.As(err, &broken):
+		return qhdecision.BadBody, http.StatusBadRequest
+	case errors.Is(cause, errSilent):
+		return qhdecision.Silent, http.StatusGatewayTimeout
+	case errors.Is(cause, context.DeadlineExceeded):
+		return qhdecision.Deadline, http.StatusGatewayTimeout
+	case cause != nil:
+		return qhdecision.Gone, statusGone
+	case qhconn.IsUnsent(err):
+		return qhdecision.Connect, http.StatusServiceUnavailable
+	default:
+		return qhdecision.Connection, http.StatusBadGateway
+	}
+}
--- /dev/null
+++ b/qhproxy/fleet_test.go
@@ -0,0 +1,193 @@
+package qhproxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhguard"
+	"quetzalhaven.dev/qhheader"
+	"quetzalhaven.dev/qhhold"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
+	"quetzalhaven.dev/qhplatform"
+	"quetzalhaven.dev/qhroute"
+	"quetzalhaven.dev/qhsetting"
+)
+
+// node is one node with its servers.
+type node struct {
+	proxy   *Proxy
+	guards  *qhguard.Set
+	ring    *qhdecision.Ring
+	metrics *metrics.Set
+	callers *httptest.Server
+	calls   *httptest.Server
+	zone    qhid.Zone
+}
+
+// fleet is nodes that share one view and one snapshot.
+type fleet struct {
+	t        testing.TB
+	settings qhsetting.Calls
+	store    *qhplatform.Store
+	snapshot atomic.Pointer[qhhold.Snapshot]
+	view     atomic.Pointer[qhmember.View]
+	nodes    map[qhid.Node]*node
+}
+
+func newFleet(t testing.TB, routes ...qhconfig.Route) *fleet {
+	f := &fleet{t: t, nodes: make(map[qhid.Node]*node), settings: qhsetting.Calls{
+		Timeout: qhconfig.Duration(20 * time.Second), Silence: qhconfig.Duration(10 * time.Second),
+		Headers: 16 << 10, Body: 64 << 20, Grace: qhconfig.Duration(10 * time.Second), Budget: 20, Decisions: 4096,
+	}}
+	f.configure(routes)
+	f.view.Store(&qhmember.View{Services: make(map[qhid.Service][]*qhmember.Endpoint)})
+	return f
+}
+
+func (f *fleet) configure(routes []qhconfig.Route) {
+	services := make(map[qhid.Service]*qhconfig.Service)
+	for _, route := range routes {
+		for _, share := range route.Shares {
+			services[share.Service] = &qhconfig.Service{Name: share.Service}
+		}
+	}
+	f.snapshot.Store(&qhhold.Snapshot{Version: 7, Services: services, Index: qhroute.NewIndex(routes)})
+}
+
+func (f *fleet) node(id qhid.Node, zone qhid.Zone) *node {
+	guards, closeGuards := qhguard.NewSet()
+	n := &node{guards: guards, ring: qhdecision.NewRing(f.settings.Decisions), metrics: metrics.NewSet(), zone: zone}
+	proxy, closeProxy := New(Options{
+		Self: id, Zone: zone, Settings: f.settings, Ring: n.ring, Log: zap.NewNop(), Metrics: n.metrics, Store: f.store,
+		Snapshot: f.snapshot.Load, View: f.view.Load, Local: guards.Get,
+	})
+	n.proxy = proxy
+	n.callers, n.calls = serve(proxy.CallersServer()), serve(proxy.NodesServer())
+	f.nodes[id] = n
+	f.t.Cleanup(func() {
+		n.callers.CloseClientConnections()
+		closeProxy()
+		n.callers.Close()
+		_ = n.calls.Config.Close()
+		closeGuards()
+	})
+	return n
+}
+
+// serve starts a server with its own settings kept.
+func serve(config *http.Server) *httptest.Server {
+	server := httptest.NewUnstartedServer(config.Handler)
+	server.Config = config
+	server.Start()
+	return server
+}
+
+// target starts a target on a node and makes all nodes know it.
+func (f *fleet) target(id qhid.Target, service qhid.Service, on qhid.Node, slots int, handler http.HandlerFunc) *httptest.Server {
+	server := httptest.NewServer(handler)
+	f.t.Cleanup(server.Close)
+	f.announce(id, service, on, slots, qhid.Address(server.Listener.Addr().String()))
+	return server
+}
+
+func (f *fleet) announce(id qhid.Target, service qhid.Service, on qhid.Node, slots int, address qhid.Address) *qhmember.Endpoint {
+	n := f.nodes[on]
+	n.guards.Put(qhguard.Announcement{ID: id, Service: service, Address: address, Slots: slots, State: qhmember.Up})
+	endpoint := &qhmember.Endpoint{
+		Target: qhmember.Target{ID: id, Service: service, State: qhmember.Up, Slots: slots},
+		Node:   on, Zone: n.zone, Calls: qhid.Address(n.calls.Listener.Addr().String()), Observed: &qhmember.Observed{},
+	}
+	old := f.view.Load().Services
+	next := make(map[qhid.Service][]*qhmember.Endpoint)
+	for name, list := range old {
+		next[name] = slices.Clone(list)
+	}
+	next[service] = append(next[service], endpoint)
+	f.view.Store(&qhmember.View{Services: next})
+	return endpoint
+}
+
+// record is what ran at targets, by request id.
+type record struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (r *record) add(request *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.runs == nil {
+		r.runs = make(map[string]int)
+	}
+	r.runs[request.Header.Get(qhheader.RequestID)]++
+}
+
+func (r *record) of(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.runs[id]
+}
+
+// result is an answer as a caller sees it.
+type result struct {
+	status  int
+	header  http.Header
+	trailer http.Header
+	body    string
+	err     error
+}
+
+// client is a caller whose own transport repeats nothing.
+func client() *http.Client {
+	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+}
+
+func do(ctx context.Context, n *node, method, path, id string, body io.Reader, edit ...func(*http.Request)) result {
+	req, err := http.NewRequestWithContext(ctx, method, n.callers.URL+path, body)
+	if err != nil {
+		return result{err: err}
+	}
+	req.Header.Set(qhheader.RequestID, id)
+	for _, f := range edit {
+		f(req)
+	}
+	resp, err := client().Do(req)
+	if err != nil {
+		return result{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return result{status: resp.StatusCode, header: resp.Header, trailer: resp.Trailer, body: string(text), err: err}
+}
+
+func route(name qhid.Route, prefix string, service qhid.Service, edit ...func(*qhconfig.Route)) qhconfig.Route {
+	r := qhconfig.Route{Name: name, Prefix: prefix, Shares: []qhconfig.Share{{Service: service, Percent: 100}}}
+	for _, f := range edit {
+		f(&r)
+	}
+	return r
+}
+
+// silent listens, takes connections and never answers on them.
+func silent(t testing.TB) net.Listener {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
--- /dev/null
+++ b/qhproxy/nodes.go
@@ -0,0 +1,114 @@
+package qhproxy
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"quetzalhaven.dev/qhdeadline"
+	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhguard"
+	"quetzalhaven.dev/qhheader"
+	"quetzalhaven.dev/qhid"
+)
+
+// serveNode takes a call that another node sent on to a target of this VM.
+func (p *Proxy) serveNode(w http.ResponseWriter, r *http.Request) {
+	d := qhdecision.Decision{
+		Request: qhid.Request(r.Header.Get(qhheader.RequestID)),
+		Route:   qhid.Route(r.Header.Get(qhheader.NodeRoute)),
+		Target:  qhid.Target(r.Header.Get(qhheader.NodeTarget)),
+		Node:    qhid.Node(r.Header.Get(qhheader.NodeFrom)),
+	}
+	guard, f := p.guardOf(d.Target)
+	if f != nil {
+		p.refuse(w, f, d)
+		return
+	}
+	left, f := p.timeLeft(r, 0)
+	if f != nil {
+		p.refuse(w, f, d)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), left)
+	defer cancel()
+	h := p.nodeHop(r, guard)
+	a, f := p.toTarget(ctx, guard, h)
+	load := guard.Load()
+	w.Header().Set(qhheader.NodeLoad, strconv.Itoa(load.Running+load.Queued))
+	if f != nil {
+		p.refuse(w, f, d)
+		return
+	}
+	p.pass(w, a, d)
+}
+
+// nodeHop reads what the other node said of the call.
+func (p *Proxy) nodeHop(r *http.Request, guard *qhguard.Guard) *hop {
+	silence, err := qhdeadline.Parse(r.Header.Get(qhheader.NodeSilence))
+	if err != nil || silence == 0 {
+		silence = time.Duration(p.Settings.Silence)
+	}
+	dropHop(r.Header)
+	dropMesh(r.Header)
+	body := &requestBody{length: r.ContentLength}
+	if r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0 {
+		body.stream = r.Body
+	}
+	return &hop{in: r, body: body, header: r.Header, silence: silence, limits: p.limits(guard)}
+}
+
+// guardOf returns the guard of a target of this VM.
+func (p *Proxy) guardOf(target qhid.Target) (*qhguard.Guard, *failure) {
+	if p.leaving.Load() {
+		return nil, notRun(qhdecision.Leaving, http.StatusServiceUnavailable, defaultAfter, "the target's node is leaving; use another one")
+	}
+	guard := p.Local(target)
+	if guard == nil {
+		return nil, notRun(qhdecision.NoTarget, http.StatusServiceUnavailable, defaultAfter, "the target has left this node; use another one")
+	}
+	return guard, nil
+}
+
+// limits returns what the configuration says of a target's service.
+func (p *Proxy) limits(guard *qhguard.Guard) qhguard.Limits {
+	snapshot := p.Snapshot()
+	if snapshot == nil {
+		return qhguard.Limits{}
+	}
+	service := snapshot.Services[guard.Announcement().Service]
+	if service == nil {
+		return qhguard.Limits{}
+	}
+	return qhguard.Limits{Slots: service.Slots, Queue: service.Queue, Connections: service.Connections}
+}
+
+// timeLeft returns the time that a call has: what its header says, within the
+// route's bound (0 for none) and that of the settings.
+func (p *Proxy) timeLeft(r *http.Request, route time.Duration) (time.Duration, *failure) {
+	bound := route
+	if bound == 0 {
+		bound = time.Duration(p.Settings.Timeout)
+	}
+	value := r.Header.Get(qhheader.Timeout)
+	if value == "" {
+		return qhdeadline.Shortest(bound), nil
+	}
+	left, err := qhdeadline.Parse(value)
+	if err != nil {
+		return 0, notRun(qhdecision.BadDeadline, http.StatusBadRequest, 0, err.Error())
+	}
+	if left <= 0 {
+		return 0, notRun(qhdecision.Late, http.StatusGatewayTimeout, defaultAfter, "no time was left for the call; allow more")
+	}
+	return qhdeadline.Shortest(left, bound), nil
+}
+
+// refuse answers a call by the mesh itself and keeps why.
+func (p *Proxy) refuse(w http.ResponseWriter, f *failure, d qhdecision.Decision) {
+	d.Kind, d.Reason, d.Outcome, d.Detail = qhdecision.Refused, f.Reason, f.Outcome, f.Detail
+	p.decide(d)
+	p.counts.refused(f)
+	writeFailure(w, f)
+}
--- /dev/null
+++ b/qhproxy/proxy.go
@@ -0,0 +1,121 @@
+// Package qhproxy carries calls: from a caller to the node on the VM of a
+// target, and from there to the target.
+package qhproxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"go.uber.org/zap"
+
+	"quetzalhaven.dev/qhbalance"
+	"quetzalhaven.dev/qhconn"
+	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhguard"
+	"quetzalhaven.dev/qhhold"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
+	"quetzalhaven.dev/qhplatform"
+	"quetzalhaven.dev/qhretry"
+	"quetzalhaven.dev/qhsetting"
+)
+
+// Options are the options of a proxy. All functions return at once.
+type Options struct {
+	Self     qhid.Node
+	Zone     qhid.Zone
+	Settings qhsetting.Calls
+	// Snapshot returns the configuration, or nil before the first.
+	Snapshot func() *qhhold.Snapshot
+	// View returns the known endpoints, never nil.
+	View func() *qhmember.View
+	// Local returns the guard of a target of this VM, or nil.
+	Local func(qhid.Target) *qhguard.Guard
+	// Ring keeps the decisions.
+	Ring    *qhdecision.Ring
+	Log     *zap.Logger
+	Metrics *metrics.Set
+	// Store keeps the claims of keyed calls; nil refuses keyed calls.
+	Store *qhplatform.Store
+	// Random returns a number in [0, n); nil is math/rand.
+	Random func(n int) int
+}
+
+// Proxy carries calls.
+type Proxy struct {
+	Options
+	balancer *qhbalance.Balancer
+	budgets  *qhretry.Budgets
+	peers    *qhconn.Peers
+	counts   *counts
+	buffers  buffers
+	// random returns a number in [0, n).
+	random func(n int) int
+	// base is the parent of the contexts of all calls. It ends when calls are cut.
+	base context.Context //nolint:containedctx // handed to the servers' BaseContext
+	cut  context.CancelFunc
+	// leaving is set once new calls are refused.
+	leaving atomic.Bool
+	// calls counts the calls that handlers are serving.
+	calls atomic.Int64
+	// idle is closed once the proxy is leaving and no call is left.
+	idle     chan struct{}
+	idleOnce sync.Once
+}
+
+// New returns a proxy and its clean-up, which cuts what is still in flight and
+// closes the connections to other nodes.
+func New(options Options) (*Proxy, func()) {
+	if options.Random == nil {
+		options.Random = rand.IntN
+	}
+	peers, closePeers := qhconn.NewPeers()
+	base, cut := context.WithCancel(context.Background())
+	proxy := &Proxy{
+		Options:  options,
+		balancer: qhbalance.New(qhbalance.Options{Zone: options.Zone, Random: options.Random}),
+		budgets:  qhretry.NewBudgets(options.Settings.Budget),
+		peers:    peers,
+		counts:   newCounts(options.Metrics),
+		base:     base,
+		cut:      cut,
+		random:   options.Random,
+		idle:     make(chan struct{}),
+	}
+	return proxy, func() {
+		cut()
+		closePeers()
+	}
+}
+
+// Callers returns the handler of the callers' listener.
+func (p *Proxy) Callers() http.Handler { return p.track(p.serveCaller) }
+
+// Nodes returns the handler of calls that other nodes send on.
+func (p *Proxy) Nodes() http.Handler { return p.track(p.serveNode) }
+
+// track counts the calls in flight, so that a drain can wait for them.
+func (p *Proxy) track(serve http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		p.calls.Add(1)
+		defer p.untrack()
+		serve(w, r)
+	})
+}
+
+func (p *Proxy) untrack() {
+	if p.calls.Add(-1) == 0 && p.leaving.Load() {
+		p.idleOnce.Do(func() { close(p.idle) })
+	}
+}
+
+// decide keeps a decision.
+func (p *Proxy) decide(d qhdecision.Decision) {
+	d.Time = time.Now()
+	p.Ring.Add(d)
+}
--- /dev/null
+++ b/qhproxy/send.go
@@ -0,0 +1,217 @@
+package qhproxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"quetzalhaven.dev/qhbalance"
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qhdeadline"
+	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhheader"
+	"quetzalhaven.dev/qhmember"
+)
+
+// send sends the call to a target, and to another one where it may be repeated.
+// Only the caller's own node repeats a call.
+func (c *call) send(ctx context.Context) (*answer, *failure) {
+	budget := c.proxy.budgets.Of(c.service.Name)
+	budget.Deposit()
+	var last *failure
+	for c.attempt = 1; ; c.attempt++ {
+		choice, ok := c.proxy.balancer.Choose(c.view, c.service, &c.tried, time.Now())
+		if !ok {
+			return nil, c.noTarget(last)
+		}
+		a, f := c.try(ctx, choice)
+		if f == nil {
+			return a, nil
+		}
+		c.tried.Add(choice.Endpoint)
+		if !c.mayRepeat(ctx, f) || !budget.Withdraw() {
+			return nil, f
+		}
+		last = f
+		c.repeated(f, choice.Endpoint)
+	}
+}
+
+// noTarget is the failure where no endpoint is left. What an earlier attempt
+// left unknown stays unknown.
+func (c *call) noTarget(last *failure) *failure {
+	if last != nil {
+		return last
+	}
+	return notRun(qhdecision.NoTarget, http.StatusServiceUnavailable, defaultAfter, "no target of the service takes calls")
+}
+
+// mayRepeat tells whether the call may be sent again after the failure: because
+// it has not run, or because its route says that it may run more than once.
+func (c *call) mayRepeat(ctx context.Context, f *failure) bool {
+	if c.attempt >= maxAttempts || ctx.Err() != nil || !c.body.again() {
+		return false
+	}
+	if f.Outcome == qhheader.NotRun {
+		return f.Reason != qhdecision.Late
+	}
+	return c.route.Repeat == qhconfig.RepeatSafe && f.Reason != qhdecision.TooLarge && f.Reason != qhdecision.BadBody
+}
+
+// repeated keeps that the call is sent again.
+func (c *call) repeated(f *failure, endpoint *qhmember.Endpoint) {
+	d := c.decision()
+	d.Kind, d.Reason, d.Outcome, d.Detail = qhdecision.Repeated, f.Reason, f.Outcome, f.Detail
+	d.Target, d.Node = endpoint.ID, endpoint.Node
+	c.proxy.decide(d)
+	c.proxy.counts.repeats.Inc()
+}
+
+// try sends the call to one endpoint and notes what was seen of it.
+func (c *call) try(ctx context.Context, choice qhbalance.Choice) (*answer, *failure) {
+	endpoint := choice.Endpoint
+	c.chosen(choice)
+	observed := endpoint.Observed
+	observed.Calls.Add(1)
+	observed.InFlight.Add(1)
+	start := time.Now()
+	a, f := c.dispatch(ctx, endpoint)
+	if f != nil {
+		observed.InFlight.Add(-1)
+		c.failed(endpoint, f)
+		return nil, f
+	}
+	c.answered(endpoint, a, time.Since(start))
+	release := a.release
+	a.release = func() {
+		observed.InFlight.Add(-1)
+		release()
+	}
+	return a, nil
+}
+
+// chosen keeps which endpoint was chosen and why.
+func (c *call) chosen(choice qhbalance.Choice) {
+	d := c.decision()
+	d.Kind, d.Reason = qhdecision.Chosen, choice.Reason
+	d.Target, d.Node = choice.Endpoint.ID, choice.Endpoint.Node
+	if choice.Other != nil {
+		d.Other = choice.Other.ID
+	}
+	c.proxy.decide(d)
+}
+
+// answered notes an answer. Errors of the target's server count as failures,
+// since a target that fails fast would draw calls otherwise.
+func (c *call) answered(endpoint *qhmember.Endpoint, a *answer, took time.Duration) {
+	switch {
+	case a.StatusCode == http.StatusServiceUnavailable && a.Header.Get(qhheader.RetryAfter) != "":
+		endpoint.Observed.Refusals.Add(1) // sheds load, which is no defect
+		qhbalance.Hint(endpoint, endpoint.Slots, time.Now())
+	case a.StatusCode >= http.StatusInternalServerError:
+		c.fail(endpoint, "status "+strconv.Itoa(a.StatusCode))
+	default:
+		qhbalance.Succeed(endpoint, took)
+	}
+}
+
+// failed notes a call without an answer. Refusals and callers that left tell
+// nothing against the endpoint.
+func (c *call) failed(endpoint *qhmember.Endpoint, f *failure) {
+	switch f.Reason {
+	case qhdecision.Busy, qhdecision.Late, qhdecision.Leaving, qhdecision.NoTarget:
+		endpoint.Observed.Refusals.Add(1)
+	case qhdecision.Connect, qhdecision.Connection, qhdecision.Silent, qhdecision.Deadline:
+		c.fail(endpoint, f.Detail)
+	}
+}
+
+// fail counts a failure of the endpoint and ejects it where it had too many.
+func (c *call) fail(endpoint *qhmember.Endpoint, detail string) {
+	span, ejected := c.proxy.balancer.Fail(c.view, c.service.Name, endpoint, time.Now())
+	if !ejected {
+		return
+	}
+	d := c.decision()
+	d.Kind, d.Reason = qhdecision.Ejected, qhdecision.FailedInARow
+	d.Target, d.Node, d.Detail = endpoint.ID, endpoint.Node, "for "+span.String()+": "+detail
+	c.proxy.decide(d)
+	c.proxy.counts.ejections.Inc()
+}
+
+// dispatch sends the call to the endpoint, over its node unless that is this one.
+func (c *call) dispatch(ctx context.Context, endpoint *qhmember.Endpoint) (*answer, *failure) {
+	h := &hop{in: c.in, body: c.body, header: c.in.Header, silence: c.silence()}
+	if c.attempt > 1 {
+		h.header = c.in.Header.Clone() // an earlier attempt may still read the headers
+	}
+	if endpoint.Node != c.proxy.Self {
+		return c.toNode(ctx, endpoint, h)
+	}
+	guard, f := c.proxy.guardOf(endpoint.ID)
+	if f != nil {
+		return nil, f
+	}
+	dropInternal(h.header)
+	h.limits = c.proxy.limits(guard)
+	a, f := c.proxy.toTarget(ctx, guard, h)
+	load := guard.Load()
+	qhbalance.Hint(endpoint, load.Running+load.Queued, time.Now())
+	return a, f
+}
+
+// toNode sends the call to the node of the endpoint.
+func (c *call) toNode(ctx context.Context, endpoint *qhmember.Endpoint, h *hop) (*answer, *failure) {
+	h.header.Set(qhheader.NodeFrom, string(c.proxy.Self))
+	h.header.Set(qhheader.NodeTarget, string(endpoint.ID))
+	h.header.Set(qhheader.NodeRoute, string(c.route.Name))
+	h.header.Set(qhheader.NodeVersion, strconv.FormatUint(uint64(c.snapshot.Version), 10))
+	h.header.Set(qhheader.NodeSilence, qhdeadline.Format(h.silence))
+	ctx, cancel := context.WithCancel(ctx)
+	resp, err := c.proxy.peers.RoundTrip(endpoint.Calls, h.request(ctx, endpoint.Calls))
+	if err != nil {
+		f := failureOf(ctx, err)
+		cancel()
+		return nil, f
+	}
+	if load, err := strconv.Atoi(resp.Header.Get(qhheader.NodeLoad)); err == nil {
+		qhbalance.Hint(endpoint, load, time.Now())
+	}
+	if outcome := resp.Header.Get(qhheader.Outcome); outcome != "" {
+		f := failureFrom(resp, outcome)
+		cancel()
+		return nil, f
+	}
+	dropMesh(resp.Header)
+	return &answer{Response: resp, release: cancel}, nil
+}
+
+// failureFrom reads the failure that another node reported.
+func failureFrom(resp *http.Response, outcome string) *failure {
+	defer func() { _ = resp.Body.Close() }() // what is left of it is not needed
+	f := &failure{
+		Reason:  qhdecision.Reason(resp.Header.Get(qhheader.Reason)),
+		Outcome: qhheader.Unknown,
+		Status:  resp.StatusCode,
+		Detail:  readDetail(resp),
+	}
+	if outcome == qhheader.NotRun {
+		f.Outcome = qhheader.NotRun
+	}
+	if seconds, err := strconv.Atoi(resp.Header.Get(qhheader.RetryAfter)); err == nil {
+		f.After = time.Duration(seconds) * time.Second
+	}
+	return f
+}
+
+// maxDetail bounds the text that is read of another node's failure, in bytes.
+const maxDetail = 512
+
+// readDetail returns the text of another node's failure.
+func readDetail(resp *http.Response) string {
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxDetail)) // a part of it is enough
+	return strings.TrimSpace(string(text))
+}
--- /dev/null
+++ b/qhproxy/target.go
@@ -0,0 +1,88 @@
+package qhproxy
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"time"
+
+	"quetzalhaven.dev/qhdeadline"
+	"quetzalhaven.dev/qhguard"
+	"quetzalhaven.dev/qhheader"
+	"quetzalhaven.dev/qhid"
+)
+
+// hop is one call on its way to a target or another node.
+type hop struct {
+	in   *http.Request
+	body *requestBody
+	// header is changed by the hop.
+	header http.Header
+	// silence bounds the wait for the first byte of the target's answer.
+	silence time.Duration
+	limits  qhguard.Limits
+}
+
+// answer is an answer whose body is still to be read.
+type answer struct {
+	*http.Response
+	// release has to be called once, after the body was read or given up.
+	release func()
+}
+
+// request returns the request that is sent to address. Nothing below
+// sends it twice.
+func (h *hop) request(ctx context.Context, address qhid.Address) *http.Request {
+	target := *h.in.URL
+	target.Scheme, target.Host = "http", string(address)
+	target.User = nil
+	out := &http.Request{
+		Method:        h.in.Method,
+		URL:           &target,
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        h.header,
+		Body:          h.body.reader(),
+		ContentLength: h.body.length,
+		Host:          h.in.Host,
+		Trailer:       h.in.Trailer,
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		h.header.Set(qhheader.Timeout, qhdeadline.Format(time.Until(deadline)))
+	}
+	if _, ok := h.header["User-Agent"]; !ok {
+		h.header.Set("User-Agent", "") // keeps the client from adding its own
+	}
+	return out.WithContext(ctx)
+}
+
+// toTarget sends a call to a target of this VM once it has a slot. The context
+// has a deadline.
+func (p *Proxy) toTarget(ctx context.Context, guard *qhguard.Guard, h *hop) (*answer, *failure) {
+	pass, err := guard.Enter(ctx, h.limits)
+	if err != nil {
+		return nil, refusedBy(err)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	release := func() {
+		cancel(nil)
+		pass.Leave()
+	}
+	timer := time.AfterFunc(h.silence, func() { cancel(errSilent) })
+	resp, err := guard.Conns().RoundTrip(h.request(ctx, guard.Announcement().Address))
+	timer.Stop()
+	if err != nil {
+		f := failureOf(ctx, err)
+		release()
+		return nil, f
+	}
+	dropMesh(resp.Header)
+	return &answer{Response: resp, release: release}, nil
+}
+
+// describe returns the method, host and path of a call for people.
+func describe(in *http.Request) string {
+	shown := url.URL{Path: in.URL.Path}
+	return in.Method + " " + in.Host + shown.EscapedPath()
+}
