qhconn: Prove that no connection sends a request twice

Cause: http.Transport repeats requests on reused connections that close, and a connection that went silent holds every call that is sent over it. Change: one dial for all that wait for a node, within each caller's own context; a stream above a graceful GOAWAY counts as unsent; calls leave a connection that is quiet for longer than a ping should take; after a silent target its idle connections are dropped. qhbalance doubts its evidence for each side apart, so that a lost availability zone does not hide what is lost in the own one.

--- a/qhbalance/choose.go
+++ b/qhbalance/choose.go
@@ -84,10 +84,10 @@
 	Reason qhdecision.Reason
 }
 
-// pick is what one choice needs to know.
+// pick is what one choice on one side needs to know.
 type pick struct {
 	balancer *Balancer
-	pool     *pool
+	list     []*qhmember.Endpoint
 	service  *qhconfig.Service
 	tried    *Tried
 	now      time.Time
@@ -99,54 +99,61 @@
 // endpoint takes work that was not tried before.
 func (b *Balancer) Choose(view *qhmember.View, service *qhconfig.Service, tried *Tried, now time.Time) (Choice, bool) {
 	pool := b.pools.of(view, service.Name)
-	p := pick{balancer: b, pool: pool, service: service, tried: tried, now: now, panicking: pool.panics(now)}
-	near := p.better(pool.near)
+	near := b.pick(&pool.near, service, tried, now).better()
 	if near.Endpoint != nil && fullness(near.Endpoint, now) < spillPercent {
-		near.Reason = p.reason(qhdecision.OwnZone)
+		near.explain(qhdecision.OwnZone)
 		return near, true
 	}
-	far := p.better(pool.far)
-	if near.Endpoint == nil {
-		far.Reason = p.reason(qhdecision.OtherZone)
+	far := b.pick(&pool.far, service, tried, now).better()
+	switch {
+	case near.Endpoint == nil:
+		far.explain(qhdecision.OtherZone)
 		return far, far.Endpoint != nil
-	}
-	if far.Endpoint != nil && fullness(far.Endpoint, now) < spillPercent {
+	case far.Endpoint == nil || far.Reason == qhdecision.Panic || fullness(far.Endpoint, now) >= spillPercent:
+		near.explain(qhdecision.OwnZone)
+		return near, true
+	default:
 		far.Reason, far.Other = qhdecision.SpillOver, near.Endpoint
 		return far, true
 	}
-	near.Reason = p.reason(qhdecision.OwnZone)
-	return near, true
 }
 
-// reason returns why, or Panic where the evidence was doubted.
-func (p *pick) reason(why qhdecision.Reason) qhdecision.Reason {
-	if p.panicking {
-		return qhdecision.Panic
+// pick returns what a choice on one side needs.
+func (b *Balancer) pick(s *side, service *qhconfig.Service, tried *Tried, now time.Time) *pick {
+	return &pick{balancer: b, list: s.list, service: service, tried: tried, now: now, panicking: s.panics(now)}
+}
+
+// explain sets why, unless the evidence was doubted.
+func (c *Choice) explain(why qhdecision.Reason) {
+	if c.Reason != qhdecision.Panic {
+		c.Reason = why
 	}
-	return why
 }
 
-// better returns the better of two random usable endpoints of the list.
-func (p *pick) better(list []*qhmember.Endpoint) Choice {
-	first := p.sample(list, nil)
+// better returns the better of two random usable endpoints.
+func (p *pick) better() Choice {
+	first := p.sample(nil)
 	if first == nil {
 		return Choice{}
 	}
-	second := p.sample(list, first)
-	if second != nil && score(second, p.now) < score(first, p.now) {
-		return Choice{Endpoint: second, Other: first}
+	choice := Choice{Endpoint: first, Other: p.sample(first)}
+	if choice.Other != nil && score(choice.Other, p.now) < score(first, p.now) {
+		choice.Endpoint, choice.Other = choice.Other, first
+	}
+	if p.panicking {
+		choice.Reason = qhdecision.Panic
 	}
-	return Choice{Endpoint: first, Other: second}
+	return choice
 }
 
 // sample returns a random usable endpoint other than not, or nil. Endpoints
 // that start are passed over as often as their share says.
-func (p *pick) sample(list []*qhmember.Endpoint, not *qhmember.Endpoint) *qhmember.Endpoint {
-	if len(list) == 0 {
+func (p *pick) sample(not *qhmember.Endpoint) *qhmember.Endpoint {
+	if len(p.list) == 0 {
 		return nil
 	}
 	for range samples {
-		endpoint := list[p.balancer.random(len(list))]
+		endpoint := p.list[p.balancer.random(len(p.list))]
 		if endpoint == not || !p.usable(endpoint) {
 			continue
 		}
@@ -157,15 +164,15 @@
 	if not != nil {
 		return nil
 	}
-	return p.scan(list)
+	return p.scan()
 }
 
 // scan returns the warmest usable endpoint from a random place on, or nil.
-func (p *pick) scan(list []*qhmember.Endpoint) *qhmember.Endpoint {
-	start := p.balancer.random(len(list))
+func (p *pick) scan() *qhmember.Endpoint {
+	start := p.balancer.random(len(p.list))
 	var best *qhmember.Endpoint
-	for i := range list {
-		endpoint := list[(start+i)%len(list)]
+	for i := range p.list {
+		endpoint := p.list[(start+i)%len(p.list)]
 		if !p.usable(endpoint) {
 			continue
 		}
--- a/qhbalance/pool.go
+++ b/qhbalance/pool.go
@@ -12,15 +12,19 @@
 // countPeriod is how old the counts of a pool may be.
 const countPeriod = 100 * time.Millisecond
 
-// pool is a service's endpoints, split by availability zone. The lists are
-// never changed.
+// pool is a service's endpoints, split by availability zone.
 type pool struct {
 	// all is the view's own list, by which a newer one is noticed.
 	all []*qhmember.Endpoint
-	// near are the endpoints of the node's own availability zone.
-	near []*qhmember.Endpoint
-	// far are the others.
-	far []*qhmember.Endpoint
+	// near has the endpoints of the node's own availability zone.
+	near side
+	// far has the others.
+	far side
+}
+
+// side is the endpoints of a service on one side. Its list is never changed.
+type side struct {
+	list []*qhmember.Endpoint
 	// counted is when panic was last computed, in nanoseconds of the Unix epoch.
 	counted atomic.Int64
 	// panicking is set while too few endpoints are usable to trust the evidence.
@@ -49,9 +53,9 @@
 	built := &pool{all: all}
 	for _, endpoint := range all {
 		if endpoint.Zone == p.zone {
-			built.near = append(built.near, endpoint)
+			built.near.list = append(built.near.list, endpoint)
 		} else {
-			built.far = append(built.far, endpoint)
+			built.far.list = append(built.far.list, endpoint)
 		}
 	}
 	p.services.Store(service, built)
@@ -65,18 +69,18 @@
 
 // panics tells whether so few endpoints look usable that the evidence is
 // doubted. The count is taken anew every countPeriod, by one caller.
-func (p *pool) panics(now time.Time) bool {
-	last := p.counted.Load()
-	if now.UnixNano()-last > int64(countPeriod) && p.counted.CompareAndSwap(last, now.UnixNano()) {
-		p.panicking.Store(p.tooFew(now))
+func (s *side) panics(now time.Time) bool {
+	last := s.counted.Load()
+	if now.UnixNano()-last > int64(countPeriod) && s.counted.CompareAndSwap(last, now.UnixNano()) {
+		s.panicking.Store(s.tooFew(now))
 	}
-	return p.panicking.Load()
+	return s.panicking.Load()
 }
 
 // tooFew tells whether the share of usable endpoints is below panicShare.
-func (p *pool) tooFew(now time.Time) bool {
+func (s *side) tooFew(now time.Time) bool {
 	taking, usable := 0, 0
-	for _, endpoint := range p.all {
+	for _, endpoint := range s.list {
 		if !takesWork(endpoint) {
 			continue
 		}
--- a/qhconn/peers.go
+++ b/qhconn/peers.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhid"
 )
 
@@ -42,6 +43,7 @@
 // Peers has the connections to other nodes. A connection that went silent is
 // closed after a ping had no answer, which fails the calls on it.
 type Peers struct {
+	group     *qhgroup.Group
 	transport *http.Transport
 	addresses sync.Map // of qhid.Address to *peer
 }
@@ -50,20 +52,28 @@
 type peer struct {
 	mu    sync.Mutex
 	conns []*peerConn
+	// dialing is nil while no connection is being made.
+	dialing *dialing
+}
+
+// dialing is a connection that is being made for all who wait for it.
+type dialing struct {
+	// done is closed once the connection was made or err is set.
+	done chan struct{}
+	err  error
 }
 
 type peerConn struct {
 	client *http.ClientConn
 	wire   *wire
-	// used is when a call last took the connection.
-	used time.Time
 }
 
 // NewPeers returns the connections to other nodes and a clean-up that closes them.
 func NewPeers() (*Peers, func()) {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
-	peers := &Peers{transport: &http.Transport{
+	group, stop := qhgroup.New(context.Background())
+	peers := &Peers{group: group, transport: &http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHeaders,
@@ -71,19 +81,36 @@
 		Protocols:              &protocols,
 		HTTP2:                  HTTP2(),
 	}}
-	return peers, peers.close
+	return peers, func() {
+		stop()
+		peers.close()
+	}
 }
 
 // RoundTrip sends the request once to the node at address. The error is a
-// *DialError where it is certain that nothing was sent.
+// *DialError or *UnsentError where it is certain that the node got nothing of
+// the request or will not look at it.
 func (p *Peers) RoundTrip(address qhid.Address, req *http.Request) (*http.Response, error) {
 	client, err := p.take(req.Context(), address)
 	if err != nil {
 		return nil, err
 	}
-	return client.RoundTrip(req)
+	resp, err := client.RoundTrip(req)
+	if err != nil && isUnprocessed(err) {
+		return nil, &UnsentError{Cause: err}
+	}
+	return resp, err
 }
 
+// unprocessed is the error of a request whose stream is above the last one that
+// the other end will look at (RFC 9113, 6.8). The standard library exports no
+// value for it.
+const unprocessed = "http2: Transport received Server's graceful shutdown GOAWAY"
+
+// isUnprocessed tells whether err says that the other end never looked at the
+// request, because it is shutting down.
+func isUnprocessed(err error) bool { return err.Error() == unprocessed }
+
 // take returns a connection with one stream reserved.
 func (p *Peers) take(ctx context.Context, address qhid.Address) (*http.ClientConn, error) {
 	found, ok := p.addresses.Load(address)
@@ -91,21 +118,51 @@
 		found, _ = p.addresses.LoadOrStore(address, &peer{})
 	}
 	node := found.(*peer)
+	for {
+		client, wait := p.reserveOrDial(node, address)
+		if client != nil {
+			return client, nil
+		}
+		select {
+		case <-wait.done:
+		case <-ctx.Done():
+			return nil, &UnsentError{Cause: context.Cause(ctx)}
+		}
+		if wait.err != nil {
+			return nil, wait.err
+		}
+	}
+}
+
+// reserveOrDial returns a connection with a stream reserved, or the dialing
+// that makes one.
+func (p *Peers) reserveOrDial(node *peer, address qhid.Address) (*http.ClientConn, *dialing) {
 	node.mu.Lock()
 	defer node.mu.Unlock()
 	if client := node.reserve(time.Now()); client != nil {
 		return client, nil
 	}
+	if node.dialing == nil {
+		d := &dialing{done: make(chan struct{})}
+		node.dialing = d
+		p.group.Go(func(ctx context.Context) { p.dial(ctx, node, address, d) })
+	}
+	return nil, node.dialing
+}
+
+// dial makes a connection for all who wait for it.
+func (p *Peers) dial(ctx context.Context, node *peer, address qhid.Address, d *dialing) {
 	var w *wire
 	client, err := p.transport.NewClientConn(context.WithValue(ctx, wireKey{}, &w), "http", string(address))
-	if err == nil {
-		err = client.Reserve()
-	}
+	node.mu.Lock()
+	defer node.mu.Unlock()
 	if err != nil {
-		return nil, &DialError{Address: address, Cause: err}
+		d.err = &DialError{Address: address, Cause: err}
+	} else {
+		node.conns = append(node.conns, &peerConn{client: client, wire: w})
 	}
-	node.conns = append(node.conns, &peerConn{client: client, wire: w, used: time.Now()})
-	return client, nil
+	node.dialing = nil
+	close(d.done)
 }
 
 // reserve reserves a stream of a live connection, or returns nil. Connections
@@ -119,7 +176,6 @@
 		}
 		if chosen == nil && !c.doubtful(now) && c.client.Reserve() == nil {
 			chosen = c.client
-			c.used = now
 		} else if c.client.Available() == 0 && c.client.InFlight() == 0 {
 			_ = c.client.Close()
 			continue
--- a/qhconn/pool.go
+++ b/qhconn/pool.go
@@ -96,7 +96,7 @@
 		return resp, nil
 	}
 	sent := c.wire.seal() != before
-	p.discard(c)
+	p.discard(c, errors.Is(context.Cause(req.Context()), ErrSilent))
 	if sent {
 		return nil, err
 	}
@@ -220,11 +220,15 @@
 	p.signal()
 }
 
-// discard lets go of a connection that failed.
-func (p *Pool) discard(c *conn) {
+// discard lets go of a connection that failed. After a silent one, the idle ones
+// are in doubt too.
+func (p *Pool) discard(c *conn, silent bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.forget(c)
+	if silent {
+		p.dropIdle()
+	}
 }
 
 // Retire closes idle connections now and the others once their request is done.
--- a/qhproxy/failure.go
+++ b/qhproxy/failure.go
@@ -18,9 +18,6 @@
 // defaultAfter is when to come back where nothing better is known.
 const defaultAfter = time.Second
 
-// errSilent ends a call whose target sent no byte of an answer in time.
-var errSilent = errors.New("the target sent no answer in time") //nolint:gochecknoglobals // a sentinel
-
 // failure is a call that has no whole answer of a target.
 type failure struct {
 	Reason qhdecision.Reason
@@ -70,7 +67,7 @@
 		return qhdecision.TooLarge, http.StatusRequestEntityTooLarge
 	case errors.As(err, &broken):
 		return qhdecision.BadBody, http.StatusBadRequest
-	case errors.Is(cause, errSilent):
+	case errors.Is(cause, qhconn.ErrSilent):
 		return qhdecision.Silent, http.StatusGatewayTimeout
 	case errors.Is(cause, context.DeadlineExceeded):
 		return qhdecision.Deadline, http.StatusGatewayTimeout
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -56,7 +56,7 @@
 		return false
 	}
 	if f.Outcome == qhheader.NotRun {
-		return f.Reason != qhdecision.Late
+		return true
 	}
 	return c.route.Repeat == qhconfig.RepeatSafe && f.Reason != qhdecision.TooLarge && f.Reason != qhdecision.BadBody
 }
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"time"
 
+	"quetzalhaven.dev/qhconn"
 	"quetzalhaven.dev/qhdeadline"
 	"quetzalhaven.dev/qhguard"
 	"quetzalhaven.dev/qhheader"
@@ -69,7 +70,7 @@
 		cancel(nil)
 		pass.Leave()
 	}
-	timer := time.AfterFunc(h.silence, func() { cancel(errSilent) })
+	timer := time.AfterFunc(h.silence, func() { cancel(qhconn.ErrSilent) })
 	resp, err := guard.Conns().RoundTrip(h.request(ctx, guard.Announcement().Address))
 	timer.Stop()
 	if err != nil {
