qhproxy: Count and log what is decided, and spread the times to come back

Cause: operators need counts and sampled logs of refusals, repeats and ejections, and callers that were refused together must not come back together. Change: lock-free counters and buckets of the added time, a sampled log, Retry-After spread over once to twice the wait, paths with dot segments refused, endpoints that refuse as leaving get no calls before the announcement is known.

--- a/qhbalance/observe.go
+++ b/qhbalance/observe.go
@@ -19,6 +19,9 @@
 	// panicShare is the share of usable endpoints in hundredths below which
 	// ejections and lost nodes are ignored.
 	panicShare = 50
+	// leaveSpan is how long an endpoint that refused as leaving gets no calls; by
+	// then its announcement is known.
+	leaveSpan = 3 * time.Second
 	// latencyWeight is the weight of older answers in the moving average.
 	latencyWeight = 7
 	// hintAge is how long a reported load counts; it fades until then.
@@ -61,6 +64,15 @@
 	return span, true
 }
 
+// Leave notes that the endpoint takes no new calls, before its node's
+// announcement says so.
+func Leave(endpoint *qhmember.Endpoint, now time.Time) {
+	until := now.Add(leaveSpan).UnixNano()
+	if endpoint.Observed.Ejected.Load() < until {
+		endpoint.Observed.Ejected.Store(until)
+	}
+}
+
 // mayEject tells whether one more ejection stays within the cap.
 func mayEject(all []*qhmember.Endpoint, now time.Time) bool {
 	out := 1
--- a/qhheader/qhheader.go
+++ b/qhheader/qhheader.go
@@ -42,6 +42,9 @@
 	NodeVersion = Internal + "Version"
 	// NodeSilence bounds the wait for the first byte of the answer, in seconds.
 	NodeSilence = Internal + "Silence"
+	// NodeTook is how long the target took until its answer began, in whole
+	// microseconds.
+	NodeTook = Internal + "Took"
 	// NodeLoad is how many calls the target has running and queued.
 	NodeLoad = Internal + "Load"
 )
--- a/qhproxy/answer.go
+++ b/qhproxy/answer.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhheader"
 )
 
 // copyBytes is the size of the buffers for bodies.
@@ -31,6 +32,7 @@
 	header := w.Header()
 	announced := announceTrailers(header, a.Trailer)
 	dropHop(a.Header)
+	delete(a.Header, qhheader.RequestID) // the caller's own is set
 	maps.Copy(header, a.Header)
 	w.WriteHeader(a.StatusCode)
 	if err := p.copyBody(w, a); err != nil {
--- a/qhproxy/body.go
+++ b/qhproxy/body.go
@@ -38,7 +38,10 @@
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return body, nil
 	}
-	if r.ContentLength < 0 || r.ContentLength > bufferBytes {
+	if len(r.Trailer) > 0 {
+		body.length = -1 // trailers need a body of no stated length
+	}
+	if body.length < 0 || body.length > bufferBytes {
 		body.stream = r.Body
 		return body, nil
 	}
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -43,6 +43,7 @@
 // serveCaller takes a call of a caller and finds it a target.
 func (p *Proxy) serveCaller(w http.ResponseWriter, r *http.Request) {
 	p.counts.calls.Inc()
+	start := time.Now()
 	c := &call{proxy: p, in: r, id: requestID(r)}
 	w.Header().Set(qhheader.RequestID, string(c.id))
 	deadline, f := c.prepare(w)
@@ -57,6 +58,7 @@
 		p.refuse(w, f, c.decision())
 		return
 	}
+	p.counts.add(time.Since(start) - a.took)
 	p.pass(w, a, c.decision())
 }
 
@@ -86,6 +88,9 @@
 	if c.in.Method == http.MethodConnect || upgrades(c.in) {
 		return notRun(qhdecision.Upgrade, http.StatusNotImplemented, 0, "the mesh carries no other protocols; send plain HTTP")
 	}
+	if hasDots(c.in.URL.Path) {
+		return notRun(qhdecision.BadRequest, http.StatusBadRequest, 0, "the path has dot segments; send it clean")
+	}
 	dropHop(c.in.Header)
 	dropMesh(c.in.Header)
 	c.in.Header.Set(qhheader.RequestID, string(c.id))
--- a/qhproxy/drain.go
+++ b/qhproxy/drain.go
@@ -41,6 +41,7 @@
 func (p *Proxy) cutAll() Drained {
 	left := int(p.calls.Load())
 	p.Log.Warn("calls cut at the end of the grace period", zap.Int("calls", left))
+	p.counts.cut.Add(left)
 	p.cut()
 	timer := time.NewTimer(cutWait)
 	defer timer.Stop()
--- a/qhproxy/headers.go
+++ b/qhproxy/headers.go
@@ -51,6 +51,19 @@
 	return offer != "" && !strings.EqualFold(offer, "h2c")
 }
 
+// hasDots tells whether a path has segments that lead elsewhere than its prefix.
+func hasDots(path string) bool {
+	if !strings.Contains(path, "/.") {
+		return false
+	}
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
 // hostOf returns the host without its port.
 func hostOf(host string) string {
 	if !strings.Contains(host, ":") {
--- a/qhproxy/nodes.go
+++ b/qhproxy/nodes.go
@@ -21,6 +21,7 @@
 		Target:  qhid.Target(r.Header.Get(qhheader.NodeTarget)),
 		Node:    qhid.Node(r.Header.Get(qhheader.NodeFrom)),
 	}
+	w.Header().Set(qhheader.RequestID, string(d.Request))
 	guard, f := p.guardOf(d.Target)
 	if f != nil {
 		p.refuse(w, f, d)
@@ -41,6 +42,7 @@
 		p.refuse(w, f, d)
 		return
 	}
+	w.Header().Set(qhheader.NodeTook, strconv.FormatInt(a.took.Microseconds(), 10))
 	p.pass(w, a, d)
 }
 
@@ -110,5 +112,6 @@
 	d.Kind, d.Reason, d.Outcome, d.Detail = qhdecision.Refused, f.Reason, f.Outcome, f.Detail
 	p.decide(d)
 	p.counts.refused(f)
-	writeFailure(w, f)
+	p.logRefusal(f, d)
+	p.writeFailure(w, f)
 }
--- a/qhproxy/proxy.go
+++ b/qhproxy/proxy.go
@@ -71,6 +71,7 @@
 // New returns a proxy and its clean-up, which cuts what is still in flight and
 // closes the connections to other nodes.
 func New(options Options) (*Proxy, func()) {
+	options.Log = sampled(options.Log)
 	if options.Random == nil {
 		options.Random = rand.IntN
 	}
@@ -87,6 +88,7 @@
 		random:   options.Random,
 		idle:     make(chan struct{}),
 	}
+	options.Metrics.NewGauge("qh_calls_in_flight", func() float64 { return float64(proxy.calls.Load()) })
 	return proxy, func() {
 		cut()
 		closePeers()
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"quetzalhaven.dev/qhbalance"
 	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qhdeadline"
@@ -122,8 +124,11 @@
 // nothing against the endpoint.
 func (c *call) failed(endpoint *qhmember.Endpoint, f *failure) {
 	switch f.Reason {
-	case qhdecision.Busy, qhdecision.Late, qhdecision.Leaving, qhdecision.NoTarget:
+	case qhdecision.Busy, qhdecision.Late:
+		endpoint.Observed.Refusals.Add(1)
+	case qhdecision.Leaving, qhdecision.NoTarget:
 		endpoint.Observed.Refusals.Add(1)
+		qhbalance.Leave(endpoint, time.Now())
 	case qhdecision.Connect, qhdecision.Connection, qhdecision.Silent, qhdecision.Deadline:
 		c.fail(endpoint, f.Detail)
 	}
@@ -140,6 +145,7 @@
 	d.Target, d.Node, d.Detail = endpoint.ID, endpoint.Node, "for "+span.String()+": "+detail
 	c.proxy.decide(d)
 	c.proxy.counts.ejections.Inc()
+	c.proxy.Log.Warn("endpoint ejected", zap.String("target", string(endpoint.ID)), zap.Duration("for", span), zap.String("because", detail))
 }
 
 // dispatch sends the call to the endpoint, over its node unless that is this one.
@@ -185,8 +191,9 @@
 		cancel()
 		return nil, f
 	}
+	took, _ := strconv.ParseInt(resp.Header.Get(qhheader.NodeTook), 10, 64) // 0 where the node says nothing
 	dropMesh(resp.Header)
-	return &answer{Response: resp, release: cancel}, nil
+	return &answer{Response: resp, release: cancel, took: time.Duration(took) * time.Microsecond}, nil
 }
 
 // failureFrom reads the failure that another node reported.
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -29,6 +29,8 @@
 	*http.Response
 	// release has to be called once, after the body was read or given up.
 	release func()
+	// took is how long the target took until its answer began.
+	took time.Duration
 }
 
 // request returns the request that is sent to address. Nothing below
@@ -71,6 +73,7 @@
 		pass.Leave()
 	}
 	timer := time.AfterFunc(h.silence, func() { cancel(qhconn.ErrSilent) })
+	start := time.Now()
 	resp, err := guard.Conns().RoundTrip(h.request(ctx, guard.Announcement().Address))
 	timer.Stop()
 	if err != nil {
@@ -79,7 +82,7 @@
 		return nil, f
 	}
 	dropMesh(resp.Header)
-	return &answer{Response: resp, release: release}, nil
+	return &answer{Response: resp, release: release, took: time.Since(start)}, nil
 }
 
 // describe returns the method, host and path of a call for people.
