--- a/qhheader/qhheader.go
+++ b/qhheader/qhheader.go
@@ -40,6 +40,11 @@
 	NodeRoute = Internal + "Route"
 	// NodeVersion is the configuration version that the sender decided on.
 	NodeVersion = Internal + "Version"
+	// NodeSilence bounds the wait for the first byte of the answer, in seconds.
+	NodeSilence = Internal + "Silence"
+	// NodeTook is how long the target took until its answer began, in whole
+	// microseconds.
+	NodeTook = Internal + "Took"
 	// NodeLoad is how many calls the target has running and queued.
 	NodeLoad = Internal + "Load"
 )
