--- a/qhmember/entry.go
+++ b/qhmember/entry.go
@@ -51,6 +51,8 @@
 	Zone qhid.Zone
 	// Calls is where the target's node takes calls of other nodes.
 	Calls qhid.Address
+	// Incarnation is that of the target's node.
+	Incarnation qhid.Incarnation
 	// Lost marks an endpoint whose node is down.
 	Lost bool
 	// Observed is kept from view to view while the node's incarnation lives.
--- /dev/null
+++ b/qhmember/view.go
@@ -0,0 +1,132 @@
+package qhmember
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"quetzalhaven.dev/qhid"
+)
+
+// View returns what is known at this moment. It takes no lock.
+func (t *Table) View() *View { return t.view.Load() }
+
+// Refresh shows what was merged since the last view.
+func (t *Table) Refresh() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.show()
+}
+
+// showSoon makes a view now or leaves it to Refresh.
+func (t *Table) showSoon() {
+	if t.now().Sub(t.shown) >= t.pause {
+		t.show()
+	}
+}
+
+// show replaces the view by one with all that is stale. What has not changed
+// is shared between the two views.
+func (t *Table) show() {
+	if len(t.stale) == 0 {
+		return
+	}
+	old := t.view.Load()
+	view := &View{Services: maps.Clone(old.Services), Entries: t.list(old.Entries)}
+	for service, nodes := range t.touched() {
+		endpoints := t.endpoints(service, old.Services[service], nodes)
+		if len(endpoints) == 0 {
+			delete(view.Services, service)
+			continue
+		}
+		view.Services[service] = endpoints
+	}
+	clear(t.stale)
+	t.shown = t.now()
+	t.view.Store(view)
+}
+
+// touched returns the stale nodes of each service that they have or had.
+func (t *Table) touched() map[qhid.Service]map[qhid.Node]bool {
+	services := make(map[qhid.Service]map[qhid.Node]bool)
+	for node, before := range t.stale {
+		for _, target := range slices.Concat(before.Targets, t.entries[node].Targets) {
+			if services[target.Service] == nil {
+				services[target.Service] = make(map[qhid.Node]bool)
+			}
+			services[target.Service][node] = true
+		}
+	}
+	return services
+}
+
+// endpoints returns the endpoints of a service with those of the given nodes
+// made anew, ordered by target.
+func (t *Table) endpoints(service qhid.Service, old []*Endpoint, nodes map[qhid.Node]bool) []*Endpoint {
+	endpoints := make([]*Endpoint, 0, len(old)+len(nodes))
+	seen := make(map[qhid.Target]*Endpoint)
+	for _, endpoint := range old {
+		if nodes[endpoint.Node] {
+			seen[endpoint.ID] = endpoint
+			continue
+		}
+		endpoints = append(endpoints, endpoint)
+	}
+	for node := range nodes {
+		entry := t.entries[node]
+		for _, target := range entry.Targets {
+			if target.Service == service {
+				endpoints = append(endpoints, t.endpoint(entry, target, seen[target.ID]))
+			}
+		}
+	}
+	slices.SortFunc(endpoints, byTarget)
+	return endpoints
+}
+
+// endpoint returns a new endpoint. What this node has seen of the old one is
+// kept while the node that announces it lives the same life.
+func (t *Table) endpoint(entry Entry, target Target, old *Endpoint) *Endpoint {
+	endpoint := &Endpoint{
+		Target:      target,
+		Node:        entry.Node,
+		Zone:        entry.Zone,
+		Calls:       entry.Calls,
+		Lost:        entry.State == Down,
+		Incarnation: entry.Incarnation,
+	}
+	if entry.State == Leaving {
+		endpoint.State = Leaving
+	}
+	if old != nil && old.Node == entry.Node && old.Incarnation == entry.Incarnation {
+		endpoint.Observed = old.Observed
+		return endpoint
+	}
+	endpoint.Observed = &Observed{}
+	endpoint.Observed.Started.Store(t.now().UnixNano())
+	return endpoint
+}
+
+// list returns the entries of a view with all that is stale replaced.
+func (t *Table) list(old []Entry) []Entry {
+	entries := make([]Entry, 0, len(t.entries))
+	for _, entry := range old {
+		if _, ok := t.stale[entry.Node]; !ok {
+			entries = append(entries, entry)
+		}
+	}
+	for node := range t.stale {
+		entries = append(entries, t.entries[node])
+	}
+	slices.SortFunc(entries, byNode)
+	return entries
+}
+
+func byNode(a, b Entry) int { return strings.Compare(string(a.Node), string(b.Node)) }
+
+func byTarget(a, b *Endpoint) int {
+	if order := strings.Compare(string(a.ID), string(b.ID)); order != 0 {
+		return order
+	}
+	return strings.Compare(string(a.Node), string(b.Node))
+}
--- /dev/null
+++ b/qhspread/watch.go
@@ -0,0 +1,72 @@
+package qhspread
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhhead"
+)
+
+const (
+	// firstWatchRetry and lastWatchRetry bound the jitter after a failed watch.
+	firstWatchRetry = 250 * time.Millisecond
+	lastWatchRetry  = 5 * time.Second
+	// watchPeriod bounds one watch, so that a silent one is asked again.
+	watchPeriod = 30 * time.Second
+	// loadTimeout bounds the reading of a whole version.
+	loadTimeout = 20 * time.Second
+)
+
+// watchLoop watches the head while this node holds a relay slot.
+func (s *Spreader) watchLoop(ctx context.Context) {
+	var seen qhhead.Head
+	retry := firstWatchRetry
+	for ctx.Err() == nil {
+		if !s.keeper.Kept() {
+			pause(ctx, firstWatchRetry)
+			continue
+		}
+		head, err := s.watchHead(ctx, seen)
+		if err == nil {
+			seen = head
+			err = s.load(ctx, head)
+		}
+		if err == nil || qherr.Is(err, qherr.NotFound) {
+			s.platform.note()
+			retry = firstWatchRetry
+			continue
+		}
+		pause(ctx, jitter(retry))
+		retry = min(2*retry, lastWatchRetry)
+	}
+}
+
+// watchHead returns the head once it differs from the one that was seen.
+func (s *Spreader) watchHead(ctx context.Context, seen qhhead.Head) (qhhead.Head, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchPeriod)
+	defer cancel()
+	return s.Chain.Watch(ctx, seen)
+}
+
+// load takes the version of a head where this node lacks it. An older head than
+// what this node has changes nothing.
+func (s *Spreader) load(ctx context.Context, head qhhead.Head) error {
+	if known, _ := s.content.known(); head.Version <= known {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	config, record, err := s.Chain.Load(ctx, head)
+	if err != nil {
+		s.Log.Warn("version cannot be read from the platform", zap.Uint64("version", uint64(head.Version)), zap.Error(err))
+		return err
+	}
+	newer, err := s.content.takeWhole(head.Version, record.Config, config)
+	if newer {
+		s.pokeAll()
+	}
+	return err
+}
