--- a/qhnode/main.go
+++ b/qhnode/main.go
@@ -97,8 +97,8 @@
 
 func settingsFlag(command *cobra.Command) *string {
 	path := command.Flags().String("settings", "", "file with the settings, JSON with comments (required)")
-	_ = command.MarkFlagRequired("settings")    // the flag exists
-	_ = command.MarkFlagFilename("settings")    // the flag exists
+	_ = command.MarkFlagRequired("settings") // the flag exists
+	_ = command.MarkFlagFilename("settings") // the flag exists
 	return path
 }
 
--- /dev/null
+++ b/qhsite/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package qhsite_test
+
+var buildFlags []string
