--- a/qhsite/node.go
+++ b/qhsite/node.go
@@ -21,18 +21,6 @@
 	site *Site
 }
 
-// Target is a target of the site. Its process is replaced by each Start.
-type Target struct {
-	*Process
-	ID      qhid.Target
-	Service Service
-	// Node is the node on the target's VM.
-	Node *Node
-	// Address is where the target takes calls. It stays over a restart.
-	Address qhid.Address
-	site    *Site
-}
-
 // addNodes gives every node and target its addresses and writes the settings.
 func (s *Site) addNodes(ctx context.Context) error {
 	for _, place := range s.Deployment.places() {
@@ -164,12 +152,3 @@
 	}
 	return reach.Nodes, targets, nil
 }
-
-// Start starts the target's process. A process before has to have ended.
-func (t *Target) Start() error {
-	process, err := start(t.site.group, t.site.Dir, string(t.ID), t.site.Programs.Stand, "target")
-	if err == nil {
-		t.Process = process
-	}
-	return err
-}
--- a/qhsite/platform.go
+++ b/qhsite/platform.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
-	"net/http"
 
 	"quetzalhaven.dev/qhplatform"
 )
@@ -16,11 +14,7 @@
 	if err != nil {
 		return err
 	}
-	answer, err := s.send(ctx, http.MethodPut, s.Platform+"/v1/faults", nil, string(text))
-	if err == nil && answer.Status >= http.StatusBadRequest {
-		err = fmt.Errorf("the stand-in refused the faults: %s", answer.Body)
-	}
-	return err
+	return s.put(ctx, s.Platform+"/v1/faults", string(text))
 }
 
 // Counts returns what the platform's stand-in was asked.
--- a/qhspread/detect.go
+++ b/qhspread/detect.go
@@ -181,4 +181,3 @@
 	})
 	return len(abroad) > 0
 }
-
