examples: Add the intents of both deployments and the demo

Cause: a newcomer has to see plan, confirm, in force and calls of the real programs in one command, on the sizes of both fleets. Ruled out: a shell script, since it can't end all processes by id when it is interrupted, nor read the figures of each node.

--- /dev/null
+++ b/examples/demo/main.go
@@ -0,0 +1,70 @@
+// Command demo runs a deployment of the examples on this machine: the platform's
+// stand-in, a node and a target for each endpoint, and the changes and calls of
+// the deployment's steps by the real programs. It ends all that it started.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhsite"
+)
+
+// patience bounds the whole demo.
+const patience = 3 * time.Minute
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newCommand().ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		stop()
+		os.Exit(int(qherr.StatusOf(err)))
+	}
+}
+
+func newCommand() *cobra.Command {
+	var bin, deployment string
+	cmd := &cobra.Command{
+		Use:           "demo",
+		Short:         "Run a deployment of the examples on this machine",
+		Example:       "  demo --bin bin --deployment feirarte",
+		Args:          cobra.NoArgs,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), patience)
+			defer cancel()
+			return run(ctx, bin, deployment)
+		},
+	}
+	cmd.Flags().StringVar(&bin, "bin", "bin", "folder of the programs")
+	cmd.Flags().StringVar(&deployment, "deployment", "ingoma", "deployment: a folder under examples")
+	return cmd
+}
+
+func run(ctx context.Context, bin, name string) error {
+	deployment, err := qhsite.LoadDeployment(filepath.Join("examples", name))
+	if err != nil {
+		return err
+	}
+	site, stop, err := qhsite.New(ctx, qhsite.Options{Programs: qhsite.ProgramsIn(bin), Deployment: deployment})
+	if err != nil {
+		return err
+	}
+	defer stop()
+	d := &demo{site: site, out: os.Stdout}
+	if err := d.run(ctx); err != nil {
+		return err
+	}
+	d.say("All was done. The processes end now.")
+	return nil
+}
--- /dev/null
+++ b/qhsite/deployment_test.go
@@ -0,0 +1,33 @@
+package qhsite_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhsite"
+)
+
+var _ = Describe("LoadDeployment", func() {
+	DescribeTable("reads the examples at the sizes of their fleets",
+		func(name string, zones, endpoints, slots, connections int) {
+			deployment, err := qhsite.LoadDeployment("../examples/" + name)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(deployment.Zones).To(HaveLen(zones))
+			total := 0
+			for _, service := range deployment.Services {
+				total += service.Endpoints
+				Expect(service.Slots).To(Equal(slots))
+				Expect(service.Connections).To(Equal(connections))
+			}
+			Expect(total).To(Equal(endpoints))
+		},
+		Entry("Ingoma", "ingoma", 3, 8+3, 9, 120),
+		Entry("Feirarte", "feirarte", 3, 9+3, 6, 130),
+	)
+
+	It("says that there is no such deployment", func() {
+		_, err := qhsite.LoadDeployment("../examples/absent")
+		Expect(qherr.Is(err, qherr.BadInput)).To(BeTrue())
+	})
+})
