qhserve: Name the node in every line of its log

Cause: the lines of several nodes in one log could not be told apart, and the build stood twice in the first one. Change: the logger carries the node; the build stays a field of the program.

--- a/qhnode/qhserve/node.go
+++ b/qhnode/qhserve/node.go
@@ -21,7 +21,6 @@
 	"quetzalhaven.dev/qhhold"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmember"
-	"quetzalhaven.dev/qhoperate"
 	"quetzalhaven.dev/qhplatform"
 	"quetzalhaven.dev/qhproxy"
 	"quetzalhaven.dev/qhsetting"
@@ -112,11 +111,12 @@
 	group, stopGroup := qhgroup.New(context.Background())
 	node.group = group
 	stops.add(stopGroup)
+	node.Log = node.Log.With(zap.String("node", string(node.Settings.ID)))
 	if err := node.start(listeners, &stops); err != nil {
 		stops.run()
 		return nil, nil, err
 	}
-	node.Log.Info("node started", zap.String("node", string(node.Settings.ID)), zap.String("zone", string(node.Settings.Zone)), zap.String("build", node.Build))
+	node.Log.Info("node started", zap.String("zone", string(node.Settings.Zone)))
 	return node, stops.run, nil
 }
 
