qhclaim: Run calls with a key at most once a key

Cause: callers repeat deposits and orders with an Idempotency-Key, through any node, while the platform loses answers. Ruled out: an owner node for each key, which is lost with its VM; deleting a claim that did not run, since a delete that lands late could hit a later holder's; a claim known by its request id. Change: a conditional create before the call, settled by reading and comparing a nonce; a claim that did not run is marked as free and taken over by a conditional update; the outcome is noted in the background. Without the platform keyed calls are refused as not run.

--- a/qhheader/qhheader.go
+++ b/qhheader/qhheader.go
@@ -24,6 +24,8 @@
 	NotRun = "not-run"
 	// Unknown is set where the call may have run.
 	Unknown = "unknown"
+	// Done is set where the call's key was used by a call that was answered.
+	Done = "done"
 )
 
 // Internal is the prefix of headers between nodes. They are dropped from what
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -53,7 +53,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
-	a, f := c.send(ctx)
+	a, f := c.sendKeyed(ctx)
 	if f != nil {
 		p.refuse(w, f, c.decision())
 		return
--- /dev/null
+++ b/qhproxy/keyed.go
@@ -0,0 +1,63 @@
+package qhproxy
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"quetzalhaven.dev/qhclaim"
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhheader"
+)
+
+// maxKey bounds the length of an idempotency key.
+const maxKey = 256
+
+// sendKeyed sends a call whose key is claimed on the platform first. A call of
+// a keyed route that brings no key is sent like one that is never repeated.
+func (c *call) sendKeyed(ctx context.Context) (*answer, *failure) {
+	keys := c.in.Header.Values(qhheader.IdempotencyKey)
+	if c.route.Repeat != qhconfig.RepeatKeyed || len(keys) == 0 {
+		return c.send(ctx)
+	}
+	if len(keys) > 1 || keys[0] == "" || len(keys[0]) > maxKey {
+		return nil, notRun(qhdecision.BadRequest, http.StatusBadRequest, 0, "the idempotency key is empty, too long or there twice; send one")
+	}
+	held, f := c.claim(ctx, keys[0])
+	if f != nil {
+		return nil, f
+	}
+	a, f := c.send(ctx)
+	switch {
+	case f == nil:
+		held.Done(a.StatusCode)
+	case f.Outcome == qhheader.NotRun:
+		held.NotRun()
+	default:
+		held.Unknown()
+	}
+	return a, f
+}
+
+// claim takes the key, or tells why the call must not be sent.
+func (c *call) claim(ctx context.Context, key string) (*qhclaim.Held, *failure) {
+	if c.proxy.claims == nil {
+		return nil, notRun(qhdecision.ClaimDown, http.StatusServiceUnavailable, defaultAfter, "this node can't claim keys")
+	}
+	fingerprint := qhclaim.Print(c.in.Method, c.in.Host, c.in.URL.RequestURI())
+	held, err := c.proxy.claims.Take(ctx, qhclaim.Call{Route: c.route.Name, Key: key, Request: c.id, Print: fingerprint})
+	var taken *qhclaim.TakenError
+	switch {
+	case err == nil:
+		return held, nil
+	case !errors.As(err, &taken):
+		return nil, notRun(qhdecision.ClaimDown, http.StatusServiceUnavailable, defaultAfter, err.Error())
+	case taken.Claim.Print != fingerprint:
+		return nil, notRun(qhdecision.Claimed, http.StatusUnprocessableEntity, 0, "the key was used for another request; use a new key")
+	case taken.Claim.State == qhclaim.StateDone:
+		return nil, &failure{Reason: qhdecision.Claimed, Outcome: qhheader.Done, Status: http.StatusConflict, Detail: err.Error()}
+	default:
+		return nil, unknown(qhdecision.Claimed, http.StatusConflict, err.Error())
+	}
+}
--- a/qhproxy/proxy.go
+++ b/qhproxy/proxy.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"quetzalhaven.dev/qhbalance"
+	"quetzalhaven.dev/qhclaim"
 	"quetzalhaven.dev/qhconn"
 	"quetzalhaven.dev/qhdecision"
 	"quetzalhaven.dev/qhguard"
@@ -53,7 +54,9 @@
 	budgets  *qhretry.Budgets
 	peers    *qhconn.Peers
 	counts   *counts
-	buffers  buffers
+	// claims is nil where there is no store.
+	claims  *qhclaim.Claims
+	buffers buffers
 	// random returns a number in [0, n).
 	random func(n int) int
 	// base is the parent of the contexts of all calls. It ends when calls are cut.
@@ -89,9 +92,16 @@
 		idle:     make(chan struct{}),
 	}
 	options.Metrics.NewGauge("qh_calls_in_flight", func() float64 { return float64(proxy.calls.Load()) })
+	closeClaims := func() {}
+	if options.Store != nil {
+		proxy.claims, closeClaims = qhclaim.New(qhclaim.Options{
+			Self: options.Self, Store: *options.Store, Log: options.Log, Metrics: options.Metrics,
+		})
+	}
 	return proxy, func() {
 		cut()
 		closePeers()
+		closeClaims()
 	}
 }
 
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -177,7 +177,7 @@
 	h.header.Set(qhheader.NodeVersion, strconv.FormatUint(uint64(c.snapshot.Version), 10))
 	h.header.Set(qhheader.NodeSilence, qhdeadline.Format(h.silence))
 	ctx, cancel := context.WithCancel(ctx)
-	resp, err := c.proxy.peers.RoundTrip(endpoint.Calls, h.request(ctx, endpoint.Calls))
+	resp, err := c.proxy.peers.RoundTrip(endpoint.Calls, h.request(ctx, endpoint.Calls)) //nolint:bodyclose // pass closes it
 	if err != nil {
 		f := failureOf(ctx, err)
 		cancel()
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -74,7 +74,7 @@
 	}
 	timer := time.AfterFunc(h.silence, func() { cancel(qhconn.ErrSilent) })
 	start := time.Now()
-	resp, err := guard.Conns().RoundTrip(h.request(ctx, guard.Announcement().Address))
+	resp, err := guard.Conns().RoundTrip(h.request(ctx, guard.Announcement().Address)) //nolint:bodyclose // pass closes it
 	timer.Stop()
 	if err != nil {
 		f := failureOf(ctx, err)
