--- a/examples/demo/demo.go
+++ b/examples/demo/demo.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	id, err := planOf(plan)
+	id, err := qhsite.PlanOf(plan)
 	if err != nil {
 		return err
 	}
@@ -83,13 +83,13 @@
 }
 
 // confirm puts the plan in force and notes what that took.
-func (d *demo) confirm(ctx context.Context, version qhid.Version, plan string) error {
+func (d *demo) confirm(ctx context.Context, version qhid.Version, plan qhid.Plan) error {
 	before, err := controls(ctx, d.site)
 	if err != nil {
 		return err
 	}
 	start := time.Now()
-	if _, err := d.ctl(ctx, "confirm", plan); err != nil {
+	if _, err := d.ctl(ctx, "confirm", string(plan)); err != nil {
 		return err
 	}
 	if _, err := d.ctl(ctx, "status", "--wait"); err != nil {
--- a/qhsite/deployment.go
+++ b/qhsite/deployment.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"path/filepath"
+	"slices"
 
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhsetting"
@@ -82,3 +83,21 @@
 	}
 	return list
 }
+
+// Scaled returns the deployment with as many nodes, its services in the same
+// proportion, and each with at least one endpoint.
+func (d Deployment) Scaled(nodes int) Deployment {
+	total := 0
+	for _, service := range d.Services {
+		total += service.Endpoints
+	}
+	services := slices.Clone(d.Services)
+	rest := nodes
+	for i := len(services) - 1; i > 0; i-- {
+		services[i].Endpoints = max(1, services[i].Endpoints*nodes/total)
+		rest -= services[i].Endpoints
+	}
+	services[0].Endpoints = max(1, rest)
+	d.Services = services
+	return d
+}
