--- a/qhnode/qhserve/node.go
+++ b/qhnode/qhserve/node.go
@@ -21,7 +21,6 @@
 	"quetzalhaven.dev/qhhold"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmember"
-	"quetzalhaven.dev/qhoperate"
 	"quetzalhaven.dev/qhplatform"
 	"quetzalhaven.dev/qhproxy"
 	"quetzalhaven.dev/qhsetting"
