--- /dev/null
+++ b/qhplan/confirm.go
@@ -0,0 +1,182 @@
+package qhplan
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhhead"
+	"quetzalhaven.dev/qhid"
+)
+
+// Confirmed tells what became of a confirm.
+type Confirmed struct {
+	Plan qhid.Plan `json:"plan"`
+	// Version is the one that the plan made.
+	Version qhid.Version `json:"version"`
+	// Before tells that the plan was in effect before this confirm.
+	Before bool `json:"before,omitempty"`
+	// Base is the version that the plan was made from. Versions between the two
+	// are those that it was rebased over.
+	Base qhid.Version `json:"base"`
+}
+
+const (
+	// maxRaces bounds the versions that may overtake one confirm.
+	maxRaces = 16
+	// maxBehind bounds the versions that a plan may be behind the head, and so
+	// the reads of one confirm.
+	maxBehind = 256
+)
+
+// Confirm puts a plan in effect and returns its version. The head moves only
+// from the plan's base, or from a newer version where rebase allows it. A plan
+// that is in effect already is not put in effect again.
+//
+// The errors are of the kinds Conflict (the base is gone and both touch the
+// same), Refused, NotFound, Unavailable (nothing was changed) and Unknown (the
+// plan may be in effect, and confirming again settles it).
+func (p *Planner) Confirm(ctx context.Context, id qhid.Plan, author string) (Confirmed, error) {
+	plan, err := p.Get(ctx, id)
+	if err != nil {
+		return Confirmed{}, notConfirmed(id, err)
+	}
+	if plan.Done != nil {
+		return Confirmed{Plan: id, Version: plan.Done.Version, Before: true, Base: plan.Base}, nil
+	}
+	for range maxRaces {
+		head, err := p.chain.Read(ctx)
+		if err != nil {
+			return Confirmed{}, notConfirmed(id, err)
+		}
+		made, found, err := p.made(ctx, plan, head)
+		if err != nil {
+			return Confirmed{}, notConfirmed(id, err)
+		}
+		if found {
+			return p.confirmed(ctx, plan, made, true), nil
+		}
+		made, err = p.commit(ctx, plan, head, author)
+		if err == nil {
+			return p.confirmed(ctx, plan, made, false), nil
+		}
+		if !isOvertaken(err) {
+			return Confirmed{}, notConfirmed(id, err)
+		}
+	}
+	return Confirmed{}, qherr.New(qherr.Conflict, nil, "confirm it again",
+		"plan %s was overtaken %d times, and nothing was changed", id, maxRaces)
+}
+
+func (p *Planner) confirmed(ctx context.Context, plan Plan, made qhhead.Head, before bool) Confirmed {
+	p.noteDone(ctx, plan.ID, made)
+	return Confirmed{Plan: plan.ID, Version: made.Version, Before: before, Base: plan.Base}
+}
+
+// overtaken is the conflict of a commit whose base moved on meanwhile.
+type overtaken struct{ error }
+
+// Unwrap returns the conflict.
+func (o overtaken) Unwrap() error { return o.error }
+
+func isOvertaken(err error) bool { return errors.As(err, &overtaken{}) }
+
+// commit moves the head on by the plan, from the head as it was read.
+func (p *Planner) commit(ctx context.Context, plan Plan, head qhhead.Head, author string) (qhhead.Head, error) {
+	config, err := p.next(ctx, plan, head)
+	if err != nil {
+		return qhhead.Head{}, err
+	}
+	made, err := p.chain.Commit(ctx, qhhead.Change{
+		Base:   head,
+		Config: config,
+		Plan:   plan.ID,
+		Author: author,
+		Reason: plan.Reason,
+		Time:   p.now().UTC(),
+	})
+	if qherr.Is(err, qherr.Conflict) {
+		return qhhead.Head{}, overtaken{err}
+	}
+	return made, err
+}
+
+// next returns what the plan makes of the head's configuration.
+func (p *Planner) next(ctx context.Context, plan Plan, head qhhead.Head) (qhconfig.Config, error) {
+	if head.Version < plan.Base {
+		return qhconfig.Config{}, qherr.New(qherr.Unavailable, nil, "confirm it again in a moment",
+			"the platform tells version %d, which is older than the base %d of plan %s", head.Version, plan.Base, plan.ID)
+	}
+	config, _, err := p.chain.Load(ctx, head)
+	if err != nil {
+		return qhconfig.Config{}, err
+	}
+	if head.Version == plan.Base && head.Record == plan.Record {
+		return plan.Diff.Apply(config)
+	}
+	base, _, err := p.chain.Load(ctx, qhhead.Head{Version: plan.Base, Record: plan.Record})
+	if qherr.Is(err, qherr.NotFound) {
+		return qhconfig.Config{}, plan.gone(head.Version, "its base was pruned")
+	}
+	if err != nil {
+		return qhconfig.Config{}, err
+	}
+	return plan.rebase(base, config, head.Version)
+}
+
+// made returns the version that the plan made, where it is in effect. The plan
+// is looked for in every version after its base.
+func (p *Planner) made(ctx context.Context, plan Plan, head qhhead.Head) (qhhead.Head, bool, error) {
+	if head.Version <= plan.Base {
+		return qhhead.Head{}, false, nil
+	}
+	behind := int(head.Version - plan.Base)
+	if behind > maxBehind {
+		return qhhead.Head{}, false, plan.gone(head.Version, "it is too far behind")
+	}
+	records, err := p.chain.History(ctx, head, behind)
+	if err != nil {
+		return qhhead.Head{}, false, err
+	}
+	digest := head.Record
+	for _, record := range records {
+		if record.Plan == plan.ID {
+			return qhhead.Head{Version: record.Version, Record: digest, Plan: plan.ID}, true, nil
+		}
+		digest = record.Previous
+	}
+	if len(records) < behind {
+		return qhhead.Head{}, false, plan.gone(head.Version, "versions between the two were pruned")
+	}
+	return qhhead.Head{}, false, nil
+}
+
+// noteDone notes in the plan which version it made, for whoever asks later.
+// The chain tells it too, so that a failure does no harm.
+func (p *Planner) noteDone(ctx context.Context, id qhid.Plan, head qhhead.Head) {
+	plan, revision, err := p.get(ctx, id)
+	if err != nil || plan.Done != nil {
+		return
+	}
+	plan.Done = &Done{Version: head.Version, Record: head.Record}
+	data, err := json.Marshal(plan)
+	if err != nil {
+		return
+	}
+	_, _ = p.store.Update(ctx, keyOf(id), data, revision) // the chain tells it too
+}
+
+// notConfirmed adds to an error what it means for a confirm.
+func notConfirmed(id qhid.Plan, err error) error {
+	switch qherr.KindOf(err) {
+	case qherr.Unavailable:
+		return qherr.New(qherr.Unavailable, err, "nothing was changed, confirm it again when the platform answers", "plan %s was not confirmed", id)
+	case qherr.Unknown:
+		return qherr.New(qherr.Unknown, err, "confirm it again, it takes effect once at most, or ask qhctl explain "+string(id),
+			"plan %s may or may not be in effect", id)
+	default:
+		return err
+	}
+}
--- /dev/null
+++ b/qhplan/history.go
@@ -0,0 +1,66 @@
+package qhplan
+
+import (
+	"context"
+
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhhead"
+	"quetzalhaven.dev/qhid"
+)
+
+// maxWalk bounds the versions that one question goes back, and so its reads.
+const maxWalk = 2000
+
+// History returns the newest versions, the newest first, at most limit.
+func (p *Planner) History(ctx context.Context, limit int) ([]qhhead.Record, error) {
+	head, err := p.chain.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return p.chain.History(ctx, head, limit)
+}
+
+// find returns the head and the record of an old version. It asks the plans of
+// the version before first, and walks back from the head where they don't tell.
+func (p *Planner) find(ctx context.Context, head qhhead.Head, version qhid.Version) (qhhead.Head, qhhead.Record, error) {
+	if version == 0 || version > head.Version {
+		return qhhead.Head{}, qhhead.Record{}, qherr.New(qherr.NotFound, nil, "use one that qhctl history lists",
+			"there is no version %d, the newest is %d", version, head.Version)
+	}
+	if found, record, ok := p.findByPlan(ctx, version); ok {
+		return found, record, nil
+	}
+	back := int(min(head.Version-version, maxWalk)) + 1
+	records, err := p.chain.History(ctx, head, back)
+	if err != nil {
+		return qhhead.Head{}, qhhead.Record{}, err
+	}
+	digest := head.Record
+	for _, record := range records {
+		if record.Version == version {
+			return qhhead.Head{Version: version, Record: digest, Plan: record.Plan}, record, nil
+		}
+		digest = record.Previous
+	}
+	return qhhead.Head{}, qhhead.Record{}, qherr.New(qherr.NotFound, nil, "use one that qhctl history lists",
+		"version %d was pruned or is more than %d versions back", version, maxWalk)
+}
+
+// findByPlan finds a version by the note in the plan that made it.
+func (p *Planner) findByPlan(ctx context.Context, version qhid.Version) (qhhead.Head, qhhead.Record, bool) {
+	plans, err := p.plansOf(ctx, version-1)
+	if err != nil {
+		return qhhead.Head{}, qhhead.Record{}, false
+	}
+	for _, plan := range plans {
+		if plan.Done == nil || plan.Done.Version != version {
+			continue
+		}
+		head := qhhead.Head{Version: version, Record: plan.Done.Record, Plan: plan.ID}
+		records, err := p.chain.History(ctx, head, 1)
+		if err == nil && len(records) == 1 && records[0].Plan == plan.ID {
+			return head, records[0], true
+		}
+	}
+	return qhhead.Head{}, qhhead.Record{}, false
+}
--- /dev/null
+++ b/qhplan/planner.go
@@ -0,0 +1,160 @@
+package qhplan
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhhead"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhintent"
+	"quetzalhaven.dev/qhplatform"
+)
+
+// Options are the parts that a Planner uses.
+type Options struct {
+	Store qhplatform.Store
+	Chain *qhhead.Chain
+	// Reach may be nil, which leaves the reach of plans unknown.
+	Reach AskReach
+	// Now is the clock; nil for the system's.
+	Now func() time.Time
+	// NewID makes the ids of plans; nil for random ones.
+	NewID func(base qhid.Version) qhid.Plan
+}
+
+// Planner makes and confirms plans.
+type Planner struct {
+	store qhplatform.Store
+	chain *qhhead.Chain
+	reach AskReach
+	now   func() time.Time
+	newID func(base qhid.Version) qhid.Plan
+}
+
+// New returns a planner.
+func New(options Options) *Planner {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.NewID == nil {
+		options.NewID = newID
+	}
+	return &Planner{store: options.Store, chain: options.Chain, reach: options.Reach, now: options.Now, newID: options.NewID}
+}
+
+// Plan makes a plan of the intents from the newest version and keeps it on the
+// platform. It changes nothing that is in force.
+func (p *Planner) Plan(ctx context.Context, author string, intents qhintent.File) (Plan, error) {
+	head, err := p.chain.Read(ctx)
+	if err != nil {
+		return Plan{}, notPlanned(err)
+	}
+	base, _, err := p.chain.Load(ctx, head)
+	if err != nil {
+		return Plan{}, notPlanned(err)
+	}
+	result, err := p.result(ctx, head, base, intents)
+	if err != nil {
+		return Plan{}, err
+	}
+	plan := Plan{
+		ID:     p.newID(head.Version),
+		Base:   head.Version,
+		Record: head.Record,
+		Author: author,
+		Reason: intents.Reason,
+		Time:   p.now().UTC(),
+		Back:   intents.BackTo(),
+		Diff:   qhconfig.Compare(base, result.Config),
+	}
+	if plan.Diff.Empty() {
+		return Plan{}, qherr.New(qherr.Refused, nil, "there is nothing to confirm", "the intents change nothing in version %d", head.Version)
+	}
+	plan.Diff.Base, plan.Diff.Next = head.Version, head.Version+1
+	plan.Lines = explained(linesOf(base, plan.Diff), result)
+	plan.Reach = reachOf(ctx, p.reach, base, plan.Diff)
+	return plan, p.keep(ctx, plan)
+}
+
+// notPlanned adds to an error that no plan was made.
+func notPlanned(err error) error {
+	if !qherr.Is(err, qherr.Unavailable) {
+		return err
+	}
+	return qherr.New(qherr.Unavailable, err, "nothing was planned, plan again when the platform answers", "the newest version can't be read")
+}
+
+// result returns what the intents make of base.
+func (p *Planner) result(ctx context.Context, head qhhead.Head, base qhconfig.Config, intents qhintent.File) (qhintent.Result, error) {
+	if back := intents.BackTo(); back != 0 {
+		return p.back(ctx, head, base, back, intents.Reason)
+	}
+	return intents.Apply(base)
+}
+
+// explained puts the reasons of the intents into lines.
+func explained(lines []Line, result qhintent.Result) []Line {
+	for i := range lines {
+		if lines[i].Route != "" {
+			lines[i].Why = result.Routes[lines[i].Route]
+			continue
+		}
+		lines[i].Why = result.Services[lines[i].Service]
+	}
+	return lines
+}
+
+// maxTries bounds the tries to write a plan.
+const maxTries = 4
+
+// keep writes the plan. An answer that is lost is settled by looking.
+func (p *Planner) keep(ctx context.Context, plan Plan) error {
+	data, err := json.Marshal(plan)
+	if err != nil {
+		return err
+	}
+	for range maxTries {
+		_, err = p.store.Create(ctx, keyOf(plan.ID), data)
+		if err == nil {
+			return nil
+		}
+		if !qherr.Is(err, qherr.Unknown) && !qherr.Is(err, qherr.Conflict) {
+			break
+		}
+		var kept Plan
+		if kept, err = p.Get(ctx, plan.ID); err == nil && kept.Diff.Digest == plan.Diff.Digest {
+			return nil
+		}
+	}
+	if qherr.Is(err, qherr.BadInput) {
+		return qherr.New(qherr.Refused, err, "split the intents into several files", "the plan is too large")
+	}
+	return qherr.New(qherr.Unavailable, err, "nothing was changed, plan again when the platform answers", "the plan was not kept")
+}
+
+// Get returns the plan of the id, or NotFound.
+func (p *Planner) Get(ctx context.Context, id qhid.Plan) (Plan, error) {
+	plan, _, err := p.get(ctx, id)
+	return plan, err
+}
+
+func (p *Planner) get(ctx context.Context, id qhid.Plan) (Plan, qhplatform.Revision, error) {
+	if !IsID(string(id)) {
+		return Plan{}, 0, qherr.New(qherr.BadInput, nil, "use the id that qhctl plan prints, as in p12-0123456789ab", "%q is no id of a plan", string(id))
+	}
+	object, err := p.store.Get(ctx, keyOf(id))
+	if qherr.Is(err, qherr.NotFound) {
+		return Plan{}, 0, qherr.New(qherr.NotFound, nil, "make it with qhctl plan -f INTENT", "there is no plan %s", id)
+	}
+	if err != nil {
+		return Plan{}, 0, err
+	}
+	plan, err := qhconfig.Decode[Plan](object.Value)
+	if err != nil {
+		return Plan{}, 0, qherr.New(qherr.Internal, err, "make the plan anew", "plan %s on the platform can't be read", id)
+	}
+	return plan, object.Revision, nil
+}
