qhverdict: Name a failed set-up of a suite

Cause: a suite whose BeforeSuite failed was printed with an empty name, since the node's word was taken off and nothing was left. Change: the word stays where it is all there is. The new spec failed with 'failed: p: ' before.

--- a/qhverdict/results.go
+++ b/qhverdict/results.go
@@ -108,7 +108,9 @@
 	var specs []string
 	for _, match := range line.FindAllStringSubmatch(text, -1) {
 		spec := colour.ReplaceAllString(match[1], "")
-		spec = strings.TrimSpace(node.ReplaceAllString(spec, " "))
+		if name := strings.TrimSpace(node.ReplaceAllString(spec, " ")); name != "" {
+			spec = name
+		}
 		if !slices.Contains(specs, spec) {
 			specs = append(specs, spec)
 		}
--- a/qhverdict/results_test.go
+++ b/qhverdict/results_test.go
@@ -35,6 +35,12 @@
 		Expect(out).To(ContainSubstring("failed: p: Guard when full refuses at once"))
 	})
 
+	It("names a failed set-up of a suite", func() {
+		out, err := verdict(nil, suite("  [FAIL] [BeforeSuite] \n")...)
+		Expect(err).To(HaveOccurred())
+		Expect(out).To(ContainSubstring("failed: p: [BeforeSuite]"))
+	})
+
 	It("passes over a listed spec and prints it", func() {
 		red, err := ParseRed("# comment\nGuard when full refuses at once | go test ./p, seed 1 | 3 of 5 refused late | 5\n")
 		Expect(err).NotTo(HaveOccurred())
