qhspread: Prove the first failures of spreading

The race detector found goroutines that began while a group was ending (a reader's answer after the group's wait): a group now starts nothing once its clean-up has begun, and a link waits for its reader.

--- a/qhgroup/qhgroup.go
+++ b/qhgroup/qhgroup.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -11,6 +12,9 @@
 // Group runs goroutines until its context ends.
 type Group struct {
 	errs errgroup.Group
+	// mu keeps Go and the clean-up apart.
+	mu      sync.RWMutex
+	stopped bool
 	ctx  context.Context //nolint:containedctx // the group is the context's owner
 }
 
@@ -21,6 +25,9 @@
 	group := &Group{ctx: ctx}
 	return group, func() {
 		cancel()
+		group.mu.Lock()
+		group.stopped = true
+		group.mu.Unlock()
 		_ = group.errs.Wait() // functions given to Go return no error
 	}
 }
@@ -28,8 +35,14 @@
 // Context returns the context that ends with the group.
 func (g *Group) Context() context.Context { return g.ctx }
 
-// Go runs f in a goroutine. f returns soon after its context ends.
+// Go runs f in a goroutine, unless the clean-up has begun. f returns soon after
+// its context ends.
 func (g *Group) Go(f func(ctx context.Context)) {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	if g.stopped {
+		return
+	}
 	g.errs.Go(func() error {
 		f(g.ctx)
 		return nil
--- a/qhspread/attach.go
+++ b/qhspread/attach.go
@@ -78,17 +78,22 @@
 	return s.relays.unique(append(list, seeds...), s.Self.Peers)
 }
 
-// members returns the addresses of random nodes of an availability zone that
-// are not known to be down.
+// members returns the addresses of random nodes of an availability zone, those
+// that are down after the others: a cut may have made them so.
 func (s *Spreader) members(zone qhid.Zone, most int) []qhid.Address {
-	var list []qhid.Address
+	var up, down []qhid.Address
 	for _, entry := range s.Members.View().Entries {
-		if entry.Zone == zone && entry.Node != s.self && entry.State != qhmember.Down && entry.State != qhmember.Leaving {
-			list = append(list, entry.Peers)
+		switch {
+		case entry.Zone != zone || entry.Node == s.self || entry.State == qhmember.Leaving:
+		case entry.State == qhmember.Down:
+			down = append(down, entry.Peers)
+		default:
+			up = append(up, entry.Peers)
 		}
 	}
-	shuffle(list)
-	return list[:min(most, len(list))]
+	shuffle(up)
+	shuffle(down)
+	return append(up[:min(most, len(up))], down[:min(1, len(down))]...)
 }
 
 func shuffle[T any](list []T) {
--- a/qhspread/detect.go
+++ b/qhspread/detect.go
@@ -91,7 +91,7 @@
 		return true // known to be down, or heard of since, or alive
 	}
 	s.suspects.setSilent(entry.Node)
-	found := evidence{Suspects: s.suspects.count(), Heard: s.heardAround(ctx), Known: s.size(), Abroad: s.heardAbroad()}
+	found := s.evidence(ctx)
 	if !found.convicts() {
 		s.counts.doubts.Inc()
 		s.Log.Warn("node gives no answer, but too few others do", zap.String("peer", string(entry.Node)),
@@ -106,6 +106,20 @@
 	return true
 }
 
+func (s *Spreader) evidence(ctx context.Context) evidence {
+	found := evidence{Suspects: s.suspects.count(), Heard: s.heardAround(ctx), Abroad: s.heardAbroad()}
+	for _, entry := range s.Members.View().Entries {
+		switch {
+		case entry.Zone != s.zone || entry.State == qhmember.Leaving:
+		case entry.State == qhmember.Down:
+			found.Down++
+		default:
+			found.Known++
+		}
+	}
+	return found
+}
+
 // probe tells whether a node answers on a new connection.
 func (s *Spreader) probe(ctx context.Context, entry qhmember.Entry) bool {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -129,8 +143,12 @@
 	}
 	heard := 0
 	for range sample {
-		if <-answers {
-			heard++
+		select {
+		case answered := <-answers:
+			if answered {
+				heard++
+			}
+		case <-ctx.Done():
 		}
 	}
 	return heard
@@ -159,17 +177,6 @@
 	return entry.State != qhmember.Down && entry.State != qhmember.Leaving
 }
 
-// size returns how many nodes of this availability zone are in use.
-func (s *Spreader) size() int {
-	size := 0
-	for _, entry := range s.Members.View().Entries {
-		if entry.Zone == s.zone && inUse(entry) {
-			size++
-		}
-	}
-	return size
-}
-
 // heardAbroad tells whether the platform or a root of another availability zone
 // was heard lately.
 func (s *Spreader) heardAbroad() bool {
--- a/qhspread/evidence.go
+++ b/qhspread/evidence.go
@@ -11,6 +11,8 @@
 	// Known is how many nodes of the availability zone are in use, with this
 	// node and the suspects.
 	Known int
+	// Down is how many nodes of the availability zone are marked down already.
+	Down int
 	// Abroad is set where the platform or another availability zone was heard.
 	Abroad bool
 }
@@ -18,8 +20,12 @@
 // convicts tells whether the evidence is enough to mark a suspect down. A node
 // that hears fewer than it suspects doubts itself: it may be the one that is cut
 // off. With no third node to ask in the availability zone, hearing anybody
-// outside of it has to do.
+// outside of it has to do. Once half of the availability zone is down, more of
+// it is doubted: a cut is likelier.
 func (e evidence) convicts() bool {
+	if 2*(e.Down+1) > e.Known+e.Down+1 {
+		return false
+	}
 	if e.Heard > 0 {
 		return e.Heard >= e.Suspects
 	}
--- /dev/null
+++ b/qhspread/spread_test.go
@@ -0,0 +1,30 @@
+package qhspread_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhstatus"
+)
+
+var _ = Describe("A fleet of three availability zones", func() {
+	It("brings versions, members and counts everywhere", func() {
+		f := newFleet()
+		first := f.commit()
+		for _, zone := range []qhid.Zone{"kigali-a", "kigali-b", "kigali-c"} {
+			f.start(zone, 5)
+		}
+		nodes := f.all()
+		expectVersion(nodes, first)
+		expectMembers(nodes)
+		second := f.commit()
+		expectVersion(nodes, second)
+		root := f.root("kigali-b")
+		Eventually(func() []qhstatus.Count { return root.Summary().Versions }, patience).
+			Should(Equal([]qhstatus.Count{{Version: second, Nodes: 5}}))
+		for _, n := range nodes {
+			Eventually(n.Ready(), patience).Should(BeClosed())
+		}
+	})
+})
--- a/qhspread/spreader.go
+++ b/qhspread/spreader.go
@@ -51,6 +51,8 @@
 	Members *qhmember.Table
 	// Listener takes messages of other nodes. The spreader closes it.
 	Listener net.Listener
+	// Dial opens a connection to a node; that of package net where it is nil.
+	Dial    func(ctx context.Context, address qhid.Address) (net.Conn, error)
 	Log      *zap.Logger
 	Metrics  *metrics.Set
 }
@@ -74,7 +76,7 @@
 	ready chan struct{}
 	// turn has an item when parent or lease may have changed.
 	turn chan struct{}
-	// contacted is when the platform last answered, in nanoseconds.
+	// platform notes when the platform last answered.
 	platform contact
 
 	mu sync.Mutex
@@ -120,11 +122,12 @@
 		Peers:     options.Self.Peers,
 		Operators: options.Operators,
 	})
-	transport, stopTransport := qhwire.New(group.Context(), qhwire.Options{
+	transport, stopTransport := qhwire.New(ctx, qhwire.Options{
 		Mux:       s.mux(),
 		Heartbeat: time.Duration(options.Settings.Heartbeat),
 		Silence:   s.silence,
 		Timeout:   dialTimeout,
+		Dial:      options.Dial,
 		Log:       options.Log,
 		Metrics:   options.Metrics,
 	})
--- /dev/null
+++ b/qhspread/store_test.go
@@ -0,0 +1,105 @@
+package qhspread_test
+
+import (
+	"context"
+	"sync"
+
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhplatform"
+)
+
+// reach cuts nodes off from the platform, or pauses their calls to it.
+type reach struct {
+	mu     sync.Mutex
+	away   map[qhid.Node]bool
+	paused map[qhid.Node]chan struct{}
+}
+
+func newReach() *reach {
+	return &reach{away: make(map[qhid.Node]bool), paused: make(map[qhid.Node]chan struct{})}
+}
+
+func (r *reach) setAway(away bool, nodes ...*node) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, n := range nodes {
+		r.away[n.id] = away
+	}
+}
+
+// pause holds the calls of a node until the returned function is called.
+func (r *reach) pause(id qhid.Node) func() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	gate := make(chan struct{})
+	r.paused[id] = gate
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.paused, id)
+		close(gate)
+	}
+}
+
+func (r *reach) check(ctx context.Context, id qhid.Node) error {
+	r.mu.Lock()
+	gate, away := r.paused[id], r.away[id]
+	r.mu.Unlock()
+	if gate != nil {
+		select {
+		case <-gate:
+		case <-ctx.Done():
+		}
+	}
+	if away || ctx.Err() != nil {
+		return qherr.New(qherr.Unavailable, ctx.Err(), "try again", "the platform is out of reach")
+	}
+	return nil
+}
+
+// store returns the platform as one node reaches it.
+func (r *reach) store(id qhid.Node, inner qhplatform.Store) qhplatform.Store {
+	return qhplatform.Store{
+		Get: func(ctx context.Context, key qhplatform.Key) (qhplatform.Object, error) {
+			if err := r.check(ctx, id); err != nil {
+				return qhplatform.Object{}, err
+			}
+			return inner.Get(ctx, key)
+		},
+		Create: func(ctx context.Context, key qhplatform.Key, value []byte) (qhplatform.Revision, error) {
+			if err := r.check(ctx, id); err != nil {
+				return 0, err
+			}
+			return inner.Create(ctx, key, value)
+		},
+		Update: func(ctx context.Context, key qhplatform.Key, value []byte, at qhplatform.Revision) (qhplatform.Revision, error) {
+			if err := r.check(ctx, id); err != nil {
+				return 0, err
+			}
+			return inner.Update(ctx, key, value, at)
+		},
+		Delete: func(ctx context.Context, key qhplatform.Key, at qhplatform.Revision) error {
+			if err := r.check(ctx, id); err != nil {
+				return err
+			}
+			return inner.Delete(ctx, key, at)
+		},
+		List: func(ctx context.Context, prefix qhplatform.Key) ([]qhplatform.Object, error) {
+			if err := r.check(ctx, id); err != nil {
+				return nil, err
+			}
+			return inner.List(ctx, prefix)
+		},
+		Watch: func(ctx context.Context, key qhplatform.Key, after qhplatform.Revision) (qhplatform.Object, error) {
+			if err := r.check(ctx, id); err != nil {
+				return qhplatform.Object{}, err
+			}
+			object, err := inner.Watch(ctx, key, after)
+			if away := r.check(ctx, id); away != nil {
+				return qhplatform.Object{}, away
+			}
+			return object, err
+		},
+	}
+}
--- a/qhwire/mux.go
+++ b/qhwire/mux.go
@@ -72,7 +72,7 @@
 	case req.Notif && found.notice != nil:
 		found.notice(ctx, l, params)
 	case !req.Notif && found.call != nil:
-		l.answer(req.ID, params, found)
+		l.answer(req.ID, params, found) //nolint:contextcheck // an answer has the group's context
 	case !req.Notif:
 		l.refuse(ctx, req.ID, "unknown kind of request "+req.Method)
 	}
--- a/qhwire/stream.go
+++ b/qhwire/stream.go
@@ -32,8 +32,8 @@
 	sent, beaten func(size int)
 	// received is the size of the last frame. Only the reader uses it.
 	received int
-	// open is closed when the reader may begin.
-	open chan struct{}
+	// open is closed when the reader may begin, ended when it has ended.
+	open, ended chan struct{}
 }
 
 func newStream(conn net.Conn, timeout time.Duration, sent, beaten func(int)) *stream {
@@ -44,6 +44,7 @@
 		sent:    sent,
 		beaten:  beaten,
 		open:    make(chan struct{}),
+		ended:   make(chan struct{}),
 	}
 	now := time.Now()
 	s.wrote.Store(&now)
@@ -83,14 +84,18 @@
 	return nil
 }
 
-// ReadObject reads the next message and passes over heartbeats.
+// ReadObject reads the next message and passes over heartbeats. The reader does
+// not come back after an error.
 func (s *stream) ReadObject(obj any) error {
 	<-s.open
 	frame, err := s.next()
+	if err == nil {
+		err = json.Unmarshal(frame, obj)
+	}
 	if err != nil {
-		return err
+		close(s.ended)
 	}
-	return json.Unmarshal(frame, obj)
+	return err
 }
 
 func (s *stream) next() ([]byte, error) {
--- a/qhwire/transport.go
+++ b/qhwire/transport.go
@@ -22,7 +22,7 @@
 // acceptPause is the wait after a listener failed to accept.
 const acceptPause = 50 * time.Millisecond
 
-// Options is what a transport needs. All fields are required.
+// Options is what a transport needs. All fields but Dial are required.
 type Options struct {
 	Mux *Mux
 	// Heartbeat is the period of frames on a quiet link.
@@ -31,6 +31,8 @@
 	Silence time.Duration
 	// Timeout bounds a dial and a write.
 	Timeout time.Duration
+	// Dial opens a connection; that of package net where it is nil.
+	Dial    func(ctx context.Context, address qhid.Address) (net.Conn, error)
 	Log     *zap.Logger
 	Metrics *metrics.Set
 }
@@ -45,6 +47,9 @@
 
 // New returns a transport and its clean-up, which ends all its links.
 func New(ctx context.Context, options Options) (*Transport, func()) {
+	if options.Dial == nil {
+		options.Dial = dial
+	}
 	group, stop := qhgroup.New(ctx)
 	return &Transport{
 		options: options,
@@ -54,15 +59,21 @@
 	}, stop
 }
 
+func dial(ctx context.Context, address qhid.Address) (net.Conn, error) {
+	var dialer net.Dialer
+	return dialer.DialContext(ctx, "tcp", string(address))
+}
+
 // Dial returns a link to the address. Errors are of kind Unavailable and wrap
 // those of package net.
 func (t *Transport) Dial(ctx context.Context, address qhid.Address) (*Link, error) {
-	dialer := net.Dialer{Timeout: t.options.Timeout}
-	conn, err := dialer.DialContext(ctx, "tcp", string(address))
+	ctx, cancel := context.WithTimeout(ctx, t.options.Timeout)
+	defer cancel()
+	conn, err := t.options.Dial(ctx, address)
 	if err != nil {
 		return nil, qherr.New(qherr.Unavailable, err, "ask another node", "node at %s cannot be reached", address)
 	}
-	return t.link(conn, func() {}), nil
+	return t.link(conn, func() {}), nil //nolint:contextcheck // a link outlives its dial
 }
 
 // Serve takes links from the listener until the transport ends, and closes it then.
@@ -91,7 +102,7 @@
 	}
 	select {
 	case t.inbound <- struct{}{}:
-		t.link(conn, func() { <-t.inbound })
+		t.link(conn, func() { <-t.inbound }) //nolint:contextcheck // a link has the transport's context
 	default:
 		_ = conn.Close() // over the limit
 	}
@@ -115,6 +126,7 @@
 	t.group.Go(func(ctx context.Context) {
 		defer ended()
 		link.watch(ctx, t.options.Heartbeat, t.options.Silence)
+		<-link.stream.ended
 	})
 	return link
 }
