--- a/qhproxy/call_test.go
+++ b/qhproxy/call_test.go
@@ -30,7 +30,7 @@
 			w.Header().Set("Trailer", "Sum")
 			w.Header().Set("Saw", fmt.Sprint(r.Header.Get(qhheader.NodeTarget), r.Host, r.URL.RequestURI()))
 			w.WriteHeader(http.StatusCreated)
-			fmt.Fprintf(w, "%s %s", r.Header.Get(qhheader.RequestID), body)
+			_, _ = fmt.Fprintf(w, "%s %s", r.Header.Get(qhheader.RequestID), body)
 			w.Header().Set("Sum", "17")
 			w.Header().Set(http.TrailerPrefix+"Late", "yes")
 		})
@@ -60,7 +60,7 @@
 
 	DescribeTable("that breaks off looks broken", func(on qhconfig.Repeat) {
 		f.target("t1", "booking", "b1", 9, func(w http.ResponseWriter, _ *http.Request) {
-			w.Write(make([]byte, 100_000))
+			_, _ = w.Write(make([]byte, 100_000))
 			w.(http.Flusher).Flush()
 			panic(http.ErrAbortHandler)
 		})
