--- a/qhsite/deployment.go
+++ b/qhsite/deployment.go
@@ -28,7 +28,7 @@
 	// Dir is the folder that the deployment was read from.
 	Dir string `json:"-"`
 	// Node has the settings that all nodes share.
-	Node qhsetting.Node `json:"-"`
+	Node qhsetting.Node `json:"-" validate:"-"`
 }
 
 // Service is a service of the fleet.
