--- a/qhheader/qhheader.go
+++ b/qhheader/qhheader.go
@@ -24,6 +24,8 @@
 	NotRun = "not-run"
 	// Unknown is set where the call may have run.
 	Unknown = "unknown"
+	// Done is set where the call's key was used by a call that was answered.
+	Done = "done"
 )
 
 // Internal is the prefix of headers between nodes. They are dropped from what
@@ -40,6 +42,11 @@
 	NodeRoute = Internal + "Route"
 	// NodeVersion is the configuration version that the sender decided on.
 	NodeVersion = Internal + "Version"
+	// NodeSilence bounds the wait for the first byte of the answer, in seconds.
+	NodeSilence = Internal + "Silence"
+	// NodeTook is how long the target took until its answer began, in whole
+	// microseconds.
+	NodeTook = Internal + "Took"
 	// NodeLoad is how many calls the target has running and queued.
 	NodeLoad = Internal + "Load"
 )
