qhctl: Add the operators' command line

Operators need one program to plan, confirm, look back and ask why. Ruled out: comparing the counts with the number of members alone, which a dead relay reports as well.

--- /dev/null
+++ b/qhctl/qhcommand/explain.go
@@ -0,0 +1,177 @@
+package qhcommand
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"strconv"
+
+	"github.com/spf13/cobra"
+
+	"quetzalhaven.dev/qhctl/qhask"
+	"quetzalhaven.dev/qhctl/qhtext"
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhhead"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhplan"
+)
+
+// subject says what is to be explained.
+type subject string
+
+// The subjects.
+const (
+	aVersion subject = "version"
+	aPlan    subject = "plan"
+	aNode    subject = "node"
+	aRequest subject = "request"
+)
+
+// subjectOf tells what the argument of explain looks like.
+func subjectOf(text string) subject {
+	if _, err := parseVersion(text); err == nil {
+		return aVersion
+	}
+	if qhplan.IsID(text) {
+		return aPlan
+	}
+	if _, err := netip.ParseAddrPort(text); err == nil {
+		return aNode
+	}
+	return aRequest
+}
+
+func parseVersion(text string) (qhid.Version, error) {
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || version == 0 {
+		return 0, qherr.New(qherr.BadInput, nil, "use a number that qhctl history lists", "%q is no version", text)
+	}
+	return qhid.Version(version), nil
+}
+
+// newExplain returns the command that tells why.
+func newExplain(s *session) *cobra.Command {
+	command := &cobra.Command{
+		Use:   "explain VERSION|PLAN|NODE-ADDRESS|REQUEST",
+		Short: "Tell who changed what, when and why, or why a call went as it did",
+		Long: `Explains a version (who, when, why, what it changed, from which plan, what raced
+it), a plan (what it does, and what became of it), a node by the address of its
+operators' API (what it holds, and what it keeps out), or a call by its request
+id, as the node that --node names decided about it.`,
+		Example: "  qhctl explain 12\n  qhctl explain p12-0123456789ab\n  qhctl explain 10.0.0.4:7104\n  qhctl explain 5f0c62b1d9a3 --node 10.0.0.4:7104",
+		Args:    exactArgs("VERSION, PLAN, NODE-ADDRESS or REQUEST"),
+	}
+	as := command.Flags().String("as", "", "what the argument is: version, plan, node or request (default what it looks like)")
+	kinds := []string{string(aVersion), string(aPlan), string(aNode), string(aRequest)}
+	_ = command.RegisterFlagCompletionFunc("as", cobra.FixedCompletions(kinds, cobra.ShellCompDirectiveNoFileComp)) // the flag exists
+	command.RunE = s.run(func(command *cobra.Command, args []string) error {
+		kind := subjectOf(args[0])
+		if *as != "" {
+			kind = subject(*as)
+		}
+		if !slices.Contains(kinds, string(kind)) {
+			return qherr.New(qherr.BadInput, nil, "use version, plan, node or request", "--as can't be %q", *as)
+		}
+		return s.explain(command, kind, args[0])
+	})
+	return command
+}
+
+func (s *session) explain(command *cobra.Command, kind subject, text string) error {
+	switch kind {
+	case aVersion:
+		return s.explainVersion(command, text)
+	case aPlan:
+		return withPlanner(s, command, func(ctx context.Context, planner *qhplan.Planner) error {
+			fate, err := planner.ExplainPlan(ctx, qhid.Plan(text))
+			if err != nil {
+				return err
+			}
+			return show(s, command, fate, (*qhtext.Writer).Fate)
+		})
+	case aNode:
+		return withNode(s, command, qhid.Address(text), func(ctx context.Context, node *qhask.Node) error {
+			state, err := node.State(ctx)
+			if err != nil {
+				return err
+			}
+			return show(s, command, state, (*qhtext.Writer).Node)
+		})
+	default:
+		return s.explainRequest(command, qhid.Request(text))
+	}
+}
+
+func (s *session) explainVersion(command *cobra.Command, text string) error {
+	version, err := parseVersion(text)
+	if err != nil {
+		return err
+	}
+	return withPlanner(s, command, func(ctx context.Context, planner *qhplan.Planner) error {
+		story, err := planner.ExplainVersion(ctx, version)
+		if err != nil {
+			return err
+		}
+		return show(s, command, story, (*qhtext.Writer).Story)
+	})
+}
+
+func (s *session) explainRequest(command *cobra.Command, request qhid.Request) error {
+	return withNode(s, command, "", func(ctx context.Context, node *qhask.Node) error {
+		decisions, err := node.Decisions(ctx, request)
+		if err != nil {
+			return err
+		}
+		return show(s, command, decisions, func(w *qhtext.Writer, decisions []qhask.Decision) {
+			w.Decisions(request, node.Address(), decisions)
+		})
+	})
+}
+
+// withNode asks the node of the address, or the one of the settings where it is
+// empty, within the command's bound.
+func withNode(s *session, command *cobra.Command, address qhid.Address, do func(ctx context.Context, node *qhask.Node) error) error {
+	node, cleanup, err := s.nodeAt(address)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	ctx, cancel := s.context(command.Context(), commandTimeout)
+	defer cancel()
+	return do(ctx, node)
+}
+
+func (s *session) nodeAt(address qhid.Address) (*qhask.Node, func(), error) {
+	if address == "" {
+		return s.node()
+	}
+	return qhask.New(address)
+}
+
+// newHistory returns the command that lists versions.
+func newHistory(s *session) *cobra.Command {
+	const newest = 20
+	command := &cobra.Command{
+		Use:     "history",
+		Short:   "List the newest versions: who, when and why",
+		Example: "  qhctl history --limit 5",
+		Args:    exactArgs(),
+	}
+	limit := command.Flags().Int("limit", newest, "how many versions to list")
+	command.RunE = s.run(func(command *cobra.Command, _ []string) error {
+		if *limit < 1 {
+			return qherr.New(qherr.BadInput, nil, "use 1 or more", "--limit can't be %d", *limit)
+		}
+		return withPlanner(s, command, func(ctx context.Context, planner *qhplan.Planner) error {
+			records, err := planner.History(ctx, *limit)
+			if err != nil {
+				return err
+			}
+			if records == nil {
+				records = []qhhead.Record{}
+			}
+			return show(s, command, records, (*qhtext.Writer).History)
+		})
+	})
+	return command
+}
--- /dev/null
+++ b/qhctl/qhcommand/node.go
@@ -0,0 +1,72 @@
+package qhcommand
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/spf13/cobra"
+
+	"quetzalhaven.dev/qhctl/qhask"
+	"quetzalhaven.dev/qhctl/qhtext"
+	"quetzalhaven.dev/qhid"
+)
+
+// newDump returns the command that shows a node's whole state.
+func newDump(s *session) *cobra.Command {
+	command := &cobra.Command{
+		Use:   "dump [NODE-ADDRESS]",
+		Short: "Show the whole state of a node, as JSON",
+		Long: `Shows the settings in use, the version held and those kept out, members, links,
+targets as they were announced and as they were seen, and recent decisions of
+the node at the address, or of the one that --node names. It is always JSON.`,
+		Example: "  qhctl dump 10.0.0.4:7104",
+		Args:    atMostOne("NODE-ADDRESS"),
+	}
+	command.RunE = s.run(func(command *cobra.Command, args []string) error {
+		return withNode(s, command, first(args), func(ctx context.Context, node *qhask.Node) error {
+			dump, err := node.Dump(ctx)
+			if err != nil {
+				return err
+			}
+			return show(s, command, dump, func(w *qhtext.Writer, dump json.RawMessage) { w.Line("%s", dump) })
+		})
+	})
+	return command
+}
+
+// newMembers returns the command that lists the nodes that a node knows.
+func newMembers(s *session) *cobra.Command {
+	command := &cobra.Command{
+		Use:     "members [NODE-ADDRESS]",
+		Short:   "List the nodes and targets that a node knows",
+		Example: "  qhctl members --node 10.0.0.4:7104",
+		Args:    atMostOne("NODE-ADDRESS"),
+	}
+	command.RunE = s.run(func(command *cobra.Command, args []string) error {
+		return withNode(s, command, first(args), func(ctx context.Context, node *qhask.Node) error {
+			members, err := node.Members(ctx)
+			if err != nil {
+				return err
+			}
+			return show(s, command, members, (*qhtext.Writer).Members)
+		})
+	})
+	return command
+}
+
+// atMostOne takes one argument or none.
+func atMostOne(name string) cobra.PositionalArgs {
+	return func(command *cobra.Command, args []string) error {
+		if len(args) == 0 {
+			return nil
+		}
+		return exactArgs(name)(command, args)
+	}
+}
+
+func first(args []string) qhid.Address {
+	if len(args) == 0 {
+		return ""
+	}
+	return qhid.Address(args[0])
+}
--- /dev/null
+++ b/qhctl/qhcommand/output.go
@@ -0,0 +1,47 @@
+package qhcommand
+
+import (
+	"encoding/json"
+
+	"github.com/spf13/cobra"
+
+	"quetzalhaven.dev/qhctl/qhtext"
+	"quetzalhaven.dev/qherr"
+)
+
+// The values of --output.
+const (
+	outputText = "text"
+	outputJSON = "json"
+)
+
+// checkOutput returns an error of kind BadInput for an output that there is not.
+func (s *session) checkOutput() error {
+	if s.output == outputText || s.output == outputJSON {
+		return nil
+	}
+	return qherr.New(qherr.BadInput, nil, "use text or json", "--output can't be %q", s.output)
+}
+
+// show writes a value as JSON, or as text by the function.
+func show[T any](s *session, command *cobra.Command, value T, text func(*qhtext.Writer, T)) error {
+	if s.output == outputJSON {
+		encoder := json.NewEncoder(command.OutOrStdout())
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(value)
+	}
+	writer := qhtext.NewWriter(command.OutOrStdout())
+	text(writer, value)
+	return writer.Err()
+}
+
+// run wraps what a command does. It is refused before anything is done where
+// the output is unknown.
+func (s *session) run(do func(command *cobra.Command, args []string) error) func(*cobra.Command, []string) error {
+	return func(command *cobra.Command, args []string) error {
+		if err := s.checkOutput(); err != nil {
+			return err
+		}
+		return do(command, args)
+	}
+}
--- /dev/null
+++ b/qhctl/qhtext/node.go
@@ -0,0 +1,86 @@
+package qhtext
+
+import (
+	"fmt"
+	"strings"
+
+	"quetzalhaven.dev/qhctl/qhask"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
+)
+
+// Node writes what a node holds and why.
+func (w *Writer) Node(state qhask.State) {
+	w.Field("node", string(state.Node))
+	w.Field("zone", string(state.Zone))
+	w.Field("build", state.Build)
+	w.Field("started", stamp(state.Started))
+	w.Field("state", string(state.State))
+	w.Field("ready", state.Ready)
+	if state.Held.Version == 0 {
+		w.Field("holds", "no version")
+	} else {
+		w.Field("holds", fmt.Sprintf("version %d with %s and %s, digest %s", state.Held.Version,
+			plural(state.Held.Services, "service"), plural(state.Held.Routes, "route"), state.Held.Digest))
+	}
+	for _, refused := range state.Held.Refusals {
+		w.Field("refuses", fmt.Sprintf("version %d: %s", refused.Version, refused.Reason))
+	}
+}
+
+// Decisions writes what a node decided about a call.
+func (w *Writer) Decisions(request qhid.Request, node qhid.Address, decisions []qhask.Decision) {
+	if len(decisions) == 0 {
+		w.Line("node %s has no decision about request %s; ask the node that took the call, which keeps only the newest", node, request)
+		return
+	}
+	w.Field("request", string(request))
+	for _, decision := range decisions {
+		w.Field(string(decision.Kind), sentence(decision))
+	}
+}
+
+// sentence tells a decision in words.
+func sentence(d qhask.Decision) string {
+	parts := []string{stamp(d.Time)}
+	add := func(format, value string) {
+		if value != "" {
+			parts = append(parts, fmt.Sprintf(format, value))
+		}
+	}
+	add("%s", string(d.Reason))
+	add("(%s)", d.Outcome)
+	if d.Version != 0 {
+		parts = append(parts, fmt.Sprintf("on version %d", d.Version))
+	}
+	add("route %s", string(d.Route))
+	add("service %s", string(d.Service))
+	add("target %s", string(d.Target))
+	add("rather than %s", string(d.Other))
+	add("at node %s", string(d.Node))
+	if d.Attempt > 1 {
+		parts = append(parts, fmt.Sprintf("attempt %d", d.Attempt))
+	}
+	add("%s", d.Detail)
+	return strings.Join(parts, " ")
+}
+
+// Members writes the nodes that a node knows.
+func (w *Writer) Members(members []qhmember.Entry) {
+	rows := make([][]string, len(members))
+	for i, member := range members {
+		rows[i] = []string{string(member.Node), string(member.Zone), string(member.State), string(member.Peers), targets(member)}
+	}
+	w.Table([]string{"node", "zone", "state", "peers", "targets"}, rows)
+}
+
+func targets(member qhmember.Entry) string {
+	if len(member.Targets) == 0 {
+		return "-"
+	}
+	texts := make([]string, len(member.Targets))
+	for i, target := range member.Targets {
+		texts[i] = fmt.Sprintf("%s (%s, %s)", target.ID, target.Service, target.State)
+	}
+	return strings.Join(texts, ", ")
+}
--- /dev/null
+++ b/qhctl/qhtext/plan.go
@@ -0,0 +1,147 @@
+package qhtext
+
+import (
+	"fmt"
+
+	"quetzalhaven.dev/qhhead"
+	"quetzalhaven.dev/qhplan"
+)
+
+// Plan writes what a plan does, where and why, and how to confirm it.
+func (w *Writer) Plan(plan qhplan.Plan) {
+	w.planHead(plan)
+	w.lines(plan.Lines)
+	w.reach(plan.Reach)
+	w.Line("nothing has changed yet; confirm it with: qhctl confirm %s", plan.ID)
+}
+
+func (w *Writer) planHead(plan qhplan.Plan) {
+	w.Field("plan", string(plan.ID))
+	w.Field("base", base(plan))
+	w.Field("author", plan.Author)
+	w.Field("time", stamp(plan.Time))
+	w.Field("reason", plan.Reason)
+	if plan.Back != 0 {
+		w.Field("back", fmt.Sprintf("to version %d", plan.Back))
+	}
+}
+
+func base(plan qhplan.Plan) string {
+	if plan.Base == 0 {
+		return "none, it makes the first version"
+	}
+	return fmt.Sprintf("version %d", plan.Base)
+}
+
+func (w *Writer) lines(lines []qhplan.Line) {
+	for _, line := range lines {
+		w.Field(string(line.Action), line.Subject())
+		for _, field := range line.Fields {
+			w.Detail("%s: %s -> %s", field.Name, unset(field.Before), unset(field.After))
+		}
+		for _, why := range line.Why {
+			w.Detail("why: %s", why)
+		}
+	}
+}
+
+func unset(text string) string {
+	if text == "" {
+		return "unset"
+	}
+	return text
+}
+
+func (w *Writer) reach(reach qhplan.Reach) {
+	w.Field("services", joined(reach.Services))
+	if reach.Unknown != "" {
+		w.Field("reach", "unknown: "+reach.Unknown)
+		return
+	}
+	w.Field("reach", fmt.Sprintf("%s, as node %s knows them", plural(reach.Nodes, "node"), reach.Node))
+	for _, zone := range reach.Zones {
+		w.Detail("%s: %s, %s of these services", zone.Zone, plural(zone.Nodes, "node"), plural(zone.Targets, "target"))
+	}
+}
+
+// Confirmed writes what became of a confirm.
+func (w *Writer) Confirmed(confirmed qhplan.Confirmed) {
+	switch {
+	case confirmed.Before:
+		w.Line("plan %s is version %d already, nothing was changed", confirmed.Plan, confirmed.Version)
+	case confirmed.Version > confirmed.Base+1:
+		w.Line("plan %s is version %d, rebased over %s that touched nothing of it", confirmed.Plan, confirmed.Version,
+			plural(int(confirmed.Version-confirmed.Base-1), "version"))
+	default:
+		w.Line("plan %s is version %d", confirmed.Plan, confirmed.Version)
+	}
+	w.Line("see how far it is in force with: qhctl status --wait")
+}
+
+// Story writes how a version came to be.
+func (w *Writer) Story(story qhplan.Story) {
+	w.Field("version", fmt.Sprint(story.Version))
+	w.Field("plan", string(story.Record.Plan))
+	if story.Plan != nil && story.Plan.Author != story.Record.Author {
+		w.Field("planned", "by "+story.Plan.Author)
+	}
+	w.Field("author", story.Record.Author)
+	w.Field("time", stamp(story.Record.Time))
+	w.Field("reason", story.Record.Reason)
+	w.Field("digest", string(story.Record.Config))
+	w.lines(story.Lines)
+	if story.Plan == nil {
+		w.Field("note", "the plan is not kept any more, so that the reason of each line is not known")
+		return
+	}
+	if len(story.Over) > 0 {
+		w.Field("rebased", fmt.Sprintf("from version %d over %s", story.Plan.Base, versions(story.Over)))
+	}
+	w.rivals(story.Rivals)
+}
+
+// Fate writes what a plan does and what became of it.
+func (w *Writer) Fate(fate qhplan.Fate) {
+	w.planHead(fate.Plan)
+	switch fate.State {
+	case qhplan.InEffect:
+		w.Field("state", fmt.Sprintf("in effect as version %d", fate.Version))
+	case qhplan.Refused:
+		w.Field("state", "can't be confirmed any more: "+fate.Why)
+	default:
+		w.Field("state", fmt.Sprintf("open, the newest version is %d; confirm it with: qhctl confirm %s", fate.Head, fate.Plan.ID))
+	}
+	w.lines(fate.Plan.Lines)
+	w.reach(fate.Plan.Reach)
+	w.rivals(fate.Rivals)
+}
+
+func (w *Writer) rivals(rivals []qhplan.Rival) {
+	for _, rival := range rivals {
+		state := "not known to be in effect"
+		if rival.Version != 0 {
+			state = fmt.Sprintf("in effect as version %d", rival.Version)
+		}
+		w.Field("raced by", fmt.Sprintf("%s of %s (%s), %s", rival.Plan, rival.Author, rival.Reason, state))
+	}
+}
+
+func versions[T ~uint64](list []T) string {
+	if len(list) == 1 {
+		return fmt.Sprintf("version %d", list[0])
+	}
+	return fmt.Sprintf("versions %d to %d", list[0], list[len(list)-1])
+}
+
+// History writes the newest versions.
+func (w *Writer) History(records []qhhead.Record) {
+	if len(records) == 0 {
+		w.Line("no version was confirmed yet")
+		return
+	}
+	rows := make([][]string, len(records))
+	for i, record := range records {
+		rows[i] = []string{fmt.Sprint(record.Version), stamp(record.Time), record.Author, string(record.Plan), record.Reason}
+	}
+	w.Table([]string{"version", "time", "author", "plan", "reason"}, rows)
+}
--- /dev/null
+++ b/qhctl/qhtext/status.go
@@ -0,0 +1,98 @@
+package qhtext
+
+import (
+	"fmt"
+	"strings"
+
+	"quetzalhaven.dev/qhctl/qhrollout"
+	"quetzalhaven.dev/qhstatus"
+)
+
+// Status writes how far a version is in force.
+func (w *Writer) Status(report qhrollout.Report) {
+	w.Line("%s", Headline(report))
+	rows := make([][]string, len(report.Zones))
+	for i, zone := range report.Zones {
+		rows[i] = []string{string(zone.Zone), fmt.Sprint(zone.Nodes), fmt.Sprint(zone.InForce), counts(zone), note(zone)}
+	}
+	if len(rows) > 0 {
+		w.Table([]string{"zone", "nodes", "in force", "versions", "note"}, rows)
+	}
+	for _, refusal := range report.Refusals {
+		w.Line("refused by %s: version %d: %s", refusal.Node, refusal.Version, refusal.Reason)
+	}
+}
+
+// Headline says in one line how far a version is in force.
+func Headline(report qhrollout.Report) string {
+	if report.Version == 0 {
+		return "no version was confirmed yet"
+	}
+	if len(report.Zones) == 0 {
+		return fmt.Sprintf("version %d: no relay of any availability zone has reported", report.Version)
+	}
+	text := fmt.Sprintf("version %d: in force on %d of %s", report.Version, report.InForce, plural(report.Nodes, "node"))
+	if report.Refused > 0 {
+		text += fmt.Sprintf("; %s", refusals(report))
+	}
+	return text
+}
+
+func refusals(report qhrollout.Report) string {
+	verb := "refuse"
+	if report.Refused == 1 {
+		verb = "refuses"
+	}
+	text := fmt.Sprintf("%d %s", report.Refused, verb)
+	if len(report.Refusals) > 0 {
+		text += ": " + refusal(report.Refusals[0])
+	}
+	return text
+}
+
+func refusal(refusal qhstatus.Refusal) string {
+	return fmt.Sprintf("%s keeps version %d out, %s", refusal.Node, refusal.Version, refusal.Reason)
+}
+
+// Lacking names the availability zones that lack the version, on one line.
+func Lacking(report qhrollout.Report) string {
+	var parts []string
+	for _, zone := range report.Zones {
+		switch {
+		case zone.Nodes == 0:
+			parts = append(parts, fmt.Sprintf("%s: not reported", zone.Zone))
+		case zone.InForce < zone.Nodes:
+			parts = append(parts, fmt.Sprintf("%s: %d of %d", zone.Zone, zone.InForce, zone.Nodes))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
+// counts tells which versions the nodes of a zone hold. Nodes that are known
+// and not counted by any relay are named too.
+func counts(zone qhrollout.Zone) string {
+	var parts []string
+	counted := 0
+	for _, count := range zone.Versions {
+		counted += count.Nodes
+		if count.Version == 0 {
+			parts = append(parts, fmt.Sprintf("%d on none", count.Nodes))
+			continue
+		}
+		parts = append(parts, fmt.Sprintf("%d on %d", count.Nodes, count.Version))
+	}
+	if zone.Nodes > counted {
+		parts = append(parts, fmt.Sprintf("%d not counted", zone.Nodes-counted))
+	}
+	if len(parts) == 0 {
+		return "-"
+	}
+	return strings.Join(parts, ", ")
+}
+
+func note(zone qhrollout.Zone) string {
+	if len(zone.Silent) == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%s silent", plural(len(zone.Silent), "relay slot"))
+}
--- a/qhplan/rebase.go
+++ b/qhplan/rebase.go
@@ -86,7 +86,7 @@
 // gone is the error of a plan that can't be rebased.
 func (p Plan) gone(version qhid.Version, why string) error {
 	return qherr.New(qherr.Conflict, nil, "make the plan anew and look at what changed",
-		"plan %s was made from version %d and version %d is in force by now: %s", p.ID, p.Base, version, why)
+		"plan %s was made from version %d, and version %d is the newest by now: %s", p.ID, p.Base, version, why)
 }
 
 // inCommon names what one side writes and the other writes or reads.
