qhctl: Fix outputs, errors and the count of nodes by tests

Operators and their scripts read what qhctl prints. Golden files hold a whole session, what a node tells, one error of each kind with its status, an outcome that stays unknown, and every help; each command is run as typed against the object API over HTTP. The count of nodes runs on an injected clock. Mended on the way: plans that raced are listed oldest first and not in the order of their random ids, the error of an unknown outcome says its remedy once, and a missing file of intents is not called settings.

--- /dev/null
+++ b/qhctl/qhcommand/qhcommand_test.go
@@ -0,0 +1,272 @@
+package qhcommand_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qhctl/qhask"
+	"quetzalhaven.dev/qhctl/qhcommand"
+	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhgolden"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
+	"quetzalhaven.dev/qhoperate"
+	"quetzalhaven.dev/qhplatform"
+	"quetzalhaven.dev/qhstatus"
+)
+
+// desk is where an operator sits: a platform, a node, and what was typed and
+// printed so far.
+type desk struct {
+	memory     *qhplatform.Memory
+	platform   string
+	node       string
+	cut        atomic.Bool
+	env        map[string]string
+	transcript strings.Builder
+	// plans are the ids of the plans that were made, in order.
+	plans []string
+}
+
+func newDesk() *desk {
+	memory := qhplatform.NewMemory(qhplatform.MemoryOptions{})
+	d := &desk{memory: memory}
+	platform := httptest.NewServer(d.cutting(qhplatform.NewHandler(memory)))
+	DeferCleanup(platform.Close)
+	node := httptest.NewServer(kigali().Handler())
+	DeferCleanup(node.Close)
+	d.platform, d.node = platform.URL, strings.TrimPrefix(node.URL, "http://")
+	d.env = map[string]string{"QHCTL_PLATFORM": d.platform}
+	return d
+}
+
+// cutting serves the platform and, where cut is set, goes down right after the
+// next write of the head and before its answer.
+func (d *desk) cutting(platform http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !d.cut.Load() || r.Method != http.MethodPut || !strings.HasSuffix(r.URL.Path, "/head") {
+			platform.ServeHTTP(w, r)
+			return
+		}
+		platform.ServeHTTP(httptest.NewRecorder(), r)
+		d.memory.SetFaults(qhplatform.Faults{Down: true})
+		panic(http.ErrAbortHandler)
+	})
+}
+
+// kigali is the operators' API of a node that holds version 2 and keeps 3 out.
+func kigali() *qhoperate.API {
+	at := time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
+	refusals := []qhstatus.Refusal{{Node: "kigali-a-1", Version: 3, Reason: "route \"urns\": shares add up to 90"}}
+	return qhoperate.New(qhoperate.Options{
+		Dump: func() any {
+			return qhask.State{Node: "kigali-a-1", Zone: "kigali-a", Build: "v1", Started: at, State: qhmember.Up, Ready: "yes",
+				Held: qhask.Held{Version: 2, Digest: "9f86d0", Services: 2, Routes: 1, Refusals: refusals}}
+		},
+		Summary: func() qhstatus.Summary {
+			return qhstatus.Summary{Versions: []qhstatus.Count{{Version: 1, Nodes: 1}, {Version: 2, Nodes: 2}}, Refused: 1, Refusals: refusals}
+		},
+		Ready: func() error { return nil },
+		Explain: func(request qhid.Request) any {
+			if request != "5f0c62b1d9a3" {
+				return []qhdecision.Decision{}
+			}
+			return []qhdecision.Decision{
+				{Time: at, Request: request, Kind: qhdecision.Chosen, Reason: qhdecision.OwnZone, Version: 2, Route: "urns", Service: "booking", Target: "b1", Other: "b2", Node: "kigali-a-1"},
+				{Time: at, Request: request, Kind: qhdecision.Refused, Reason: qhdecision.Busy, Outcome: "not-run", Attempt: 2, Detail: "9 slots in use"},
+			}
+		},
+		View: func() *qhmember.View {
+			return &qhmember.View{Entries: []qhmember.Entry{
+				{Node: "kigali-a-1", Zone: "kigali-a", Peers: "10.0.0.4:7103", State: qhmember.Up, Targets: []qhmember.Target{{ID: "b1", Service: "booking", State: qhmember.Up}}},
+				{Node: "kigali-b-1", Zone: "kigali-b", Peers: "10.0.1.4:7103", State: qhmember.Down},
+			}}
+		},
+		Drain:   func() {},
+		Metrics: metrics.NewSet(),
+	})
+}
+
+// run types a command and notes it with all that it printed. $1 stands for the
+// id of the first plan.
+func (d *desk) run(ctx context.Context, line string) qherr.Status {
+	GinkgoHelper()
+	typed := line
+	for i, plan := range d.plans {
+		typed = strings.ReplaceAll(typed, fmt.Sprintf("$%d", i+1), plan)
+	}
+	typed = strings.NewReplacer("NODE", d.node, "PLATFORM", d.platform).Replace(typed)
+	command := qhcommand.New(qhcommand.Options{
+		Build: "v1", Getenv: func(name string) string { return d.env[name] }, User: func() string { return "amara" },
+	})
+	var out bytes.Buffer
+	command.SetOut(&out)
+	command.SetErr(&out)
+	command.SetArgs(strings.Fields(typed))
+	err := command.ExecuteContext(ctx)
+	if err != nil {
+		fmt.Fprintf(&out, "qhctl: %v\n", err)
+	}
+	if match := regexp.MustCompile(`(?m)^plan +(p\S+)\nbase`).FindStringSubmatch(out.String()); match != nil && !strings.HasPrefix(line, "explain") {
+		d.plans = append(d.plans, match[1])
+	}
+	status := qherr.StatusOf(err)
+	fmt.Fprintf(&d.transcript, "$ qhctl %s\n%s[%d]\n\n", line, out.String(), status)
+	return status
+}
+
+// file writes a file of the directory that the test runs in.
+func (d *desk) file(name, text string) {
+	GinkgoHelper()
+	Expect(os.WriteFile(filepath.Join(name), []byte(text), 0o600)).To(Succeed())
+}
+
+// settled returns the transcript without what differs from run to run.
+func (d *desk) settled() string {
+	text := strings.NewReplacer(d.platform, "http://PLATFORM", strings.TrimPrefix(d.platform, "http://"), "PLATFORM", d.node, "NODE").Replace(d.transcript.String())
+	for i, plan := range d.plans {
+		text = strings.ReplaceAll(text, plan, fmt.Sprintf("%s-PLAN%d", strings.Split(plan, "-")[0], i+1))
+	}
+	text = regexp.MustCompile(`20\d\d-\d\d-\d\d \d\d:\d\d:\d\dZ`).ReplaceAllString(text, "2026-12-03 09:00:00Z")
+	return regexp.MustCompile(`127\.0\.0\.1:\d+->`).ReplaceAllString(text, "HERE->")
+}
+
+// The files of intents of the tests.
+const (
+	first = `{"reason": "open the mesh", "intents": [ // Families look up slots.
+	{"do": "add", "service": "booking", "slots": 9},
+	{"do": "add", "service": "trial"},
+	{"do": "add", "route": "urns", "prefix": "/urns", "shares": [{"service": "booking", "percent": 100}]}]}`
+	shift = `{"reason": "try the next release", "intents": [
+	{"do": "shift", "route": "urns", "from": "booking", "to": "trial", "percent": 10}]}`
+	limit = `{"reason": "fewer slots", "intents": [{"do": "limit", "service": "booking", "slots": 4}]}`
+	more  = `{"reason": "a route more", "intents": [
+	{"do": "add", "route": "slots", "prefix": "/slots", "shares": [{"service": "trial", "percent": 100}]}]}`
+	remove = `{"reason": "no booking", "intents": [{"do": "remove", "service": "booking"}]}`
+	typo   = "{\"reason\": \"typo\",\n\"intents\": [{\"do\": \"shift\", \"rout\": \"urns\"}]}"
+)
+
+var _ = Describe("Commands", func() {
+	var d *desk
+
+	// golden is the file of testdata with the name, as seen from any directory.
+	golden := func(name string) string {
+		GinkgoHelper()
+		return filepath.Join(testdata, name+".golden")
+	}
+
+	BeforeEach(func() {
+		d = newDesk()
+		here, err := os.Getwd()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.Chdir(GinkgoT().TempDir())).To(Succeed())
+		DeferCleanup(os.Chdir, here)
+		for name, text := range map[string]string{"first": first, "shift": shift, "limit": limit, "more": more, "remove": remove, "typo": typo} {
+			d.file(name+".jsonc", text)
+		}
+	})
+
+	It("plan, confirm, look back and explain", func(ctx SpecContext) {
+		for _, line := range []string{
+			"history", "status", "check -f first.jsonc",
+			"plan -f first.jsonc --node NODE", "confirm $1", "confirm $1 --author bento",
+			"plan -f shift.jsonc", "plan -f limit.jsonc", "plan -f more.jsonc",
+			"confirm $2", "confirm $3", "confirm $4", "explain $3", "explain 3", "history",
+			"back 2 --reason certificates", "confirm $5", "explain 4", "history --limit 1 -o json",
+			"prune",
+		} {
+			d.run(ctx, line)
+		}
+		text := regexp.MustCompile(`[0-9a-f]{64}`).ReplaceAllString(d.settled(), "DIGEST")
+		text = regexp.MustCompile(`"time": "[^"]*"`).ReplaceAllString(text, `"time": "TIME"`)
+		Expect(text).To(qhgolden.Match(golden("session")))
+	})
+
+	It("ask a node", func(ctx SpecContext) {
+		for _, line := range []string{
+			"explain NODE", "explain 5f0c62b1d9a3 --node NODE", "explain 4242 --as request --node NODE",
+			"members NODE", "members --node NODE --output json", "dump NODE",
+		} {
+			Expect(d.run(ctx, line)).To(Equal(qherr.StatusDone), line)
+		}
+		d.memory.SetFaults(qhplatform.Faults{Down: true})
+		d.run(ctx, "status --node NODE")
+		d.run(ctx, "status --node NODE -o json")
+		Expect(d.settled()).To(qhgolden.Match(golden("node")))
+	})
+
+	It("say what is wrong on one line, with the remedy and the status of its kind", func(ctx SpecContext) {
+		d.run(ctx, "plan -f first.jsonc")
+		d.run(ctx, "confirm $1")
+		d.transcript.Reset()
+		for _, line := range []string{
+			"polish", "plan", "plan -f absent.jsonc", "plan -f typo.jsonc", "check -f typo.jsonc", "plan first.jsonc",
+			"plan -f remove.jsonc", "status --polish", "history --output xml", "history --limit 0", "back zero", "back 7", "confirm",
+			"confirm p1", "confirm p1-0123456789ab", "explain", "explain 7", "explain p1-0123456789ab", "explain x --as cat",
+			"explain 5f0c62b1d9a3", "dump", "dump kigali-a-1", "members PLATFORM", "prune --keep 1", "history --platform kigali",
+			"status --wait --timeout 20ms --patience 1ms",
+		} {
+			Expect(d.run(ctx, line)).NotTo(Equal(qherr.StatusDone), line)
+		}
+		d.run(ctx, "plan -f shift.jsonc")
+		d.memory.SetFaults(qhplatform.Faults{Down: true})
+		for _, line := range []string{"plan -f shift.jsonc", "confirm $2", "history", "explain 1", "status", "status --wait --timeout 20ms"} {
+			Expect(d.run(ctx, line)).To(Equal(qherr.StatusFailed), line)
+		}
+		d.memory.SetFaults(qhplatform.Faults{})
+		d.run(ctx, "history")
+		d.env = nil
+		d.run(ctx, "history")
+		Expect(d.settled()).To(qhgolden.Match(golden("errors")))
+	})
+
+	It("say that an outcome is unknown, and how to find out", func(ctx SpecContext) {
+		d.run(ctx, "plan -f first.jsonc")
+		d.transcript.Reset()
+		d.cut.Store(true)
+		Expect(d.run(ctx, "confirm $1")).To(Equal(qherr.StatusUnknown))
+		d.cut.Store(false)
+		d.memory.SetFaults(qhplatform.Faults{})
+		Expect(d.run(ctx, "explain $1")).To(Equal(qherr.StatusDone))
+		Expect(d.run(ctx, "confirm $1")).To(Equal(qherr.StatusDone))
+		Expect(d.settled()).To(qhgolden.Match(golden("unknown")))
+	})
+
+	It("help with an example, complete and tell their version", func(ctx SpecContext) {
+		for _, name := range []string{"", "plan", "confirm", "back", "status", "history", "explain", "dump", "members", "check", "prune"} {
+			Expect(d.run(ctx, name+" --help")).To(Equal(qherr.StatusDone))
+		}
+		d.run(ctx, "--version")
+		d.run(ctx, "__complete history --output ")
+		Expect(d.settled()).To(qhgolden.Match(golden("help")))
+		Expect(strings.Count(d.settled(), "\nExamples:\n")).To(Equal(11))
+	})
+
+	It("find the platform by flag, environment and settings, in that order", func(ctx SpecContext) {
+		d.file("settings.jsonc", "{ // where the operators sit\n\"platform\": \"http://127.0.0.1:1\", \"author\": \"chidi\",}")
+		d.file("bad.jsonc", `{"platform": "kigali"}`)
+		d.env = nil
+		Expect(d.run(ctx, "history --settings settings.jsonc")).To(Equal(qherr.StatusFailed))
+		Expect(d.run(ctx, "history --settings bad.jsonc")).To(Equal(qherr.StatusBadUse))
+		d.env = map[string]string{"QHCTL_SETTINGS": "settings.jsonc", "QHCTL_PLATFORM": d.platform}
+		Expect(d.run(ctx, "history")).To(Equal(qherr.StatusDone))
+		d.run(ctx, "plan -f first.jsonc")
+		Expect(d.transcript.String()).To(ContainSubstring("author    chidi"))
+		Expect(d.run(ctx, "history --platform http://127.0.0.1:1")).To(Equal(qherr.StatusFailed))
+		Expect(d.run(ctx, "history --platform PLATFORM")).To(Equal(qherr.StatusDone))
+	})
+})
--- /dev/null
+++ b/qhctl/qhrollout/watcher_test.go
@@ -0,0 +1,146 @@
+package qhrollout_test
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qhctl/qhrollout"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhlease"
+	"quetzalhaven.dev/qhplatform"
+	"quetzalhaven.dev/qhstatus"
+)
+
+// patience is how long a relay may take to renew in these tests.
+const patience = 6 * time.Second
+
+// fleet is relay objects on a platform in memory, and a watcher with a clock.
+type fleet struct {
+	*qhrollout.Watcher
+	store  qhplatform.Store
+	memory *qhplatform.Memory
+	now    time.Time
+}
+
+func newFleet() *fleet {
+	f := &fleet{memory: qhplatform.NewMemory(qhplatform.MemoryOptions{}), now: time.Unix(1000, 0)}
+	f.store = f.memory.Store()
+	f.Watcher = qhrollout.NewWatcher(qhrollout.Options{
+		Store: f.store, Version: 12, Patience: patience, Now: func() time.Time { return f.now },
+	})
+	return f
+}
+
+// renew writes what a relay tells with its next renewal.
+func (f *fleet) renew(ctx context.Context, zone qhid.Zone, slot qhlease.Slot, relay qhstatus.Relay) {
+	GinkgoHelper()
+	key := qhlease.KeyOf(zone, slot)
+	object, err := f.store.Get(ctx, key)
+	if err == nil {
+		_, _, before, parseErr := qhlease.Parse(object)
+		Expect(parseErr).NotTo(HaveOccurred())
+		relay.Renewal = before.Renewal + 1
+	}
+	value, marshalErr := json.Marshal(relay)
+	Expect(marshalErr).NotTo(HaveOccurred())
+	if err != nil {
+		_, err = f.store.Create(ctx, key, value)
+	} else {
+		_, err = f.store.Update(ctx, key, value, object.Revision)
+	}
+	Expect(err).NotTo(HaveOccurred())
+}
+
+func (f *fleet) look(ctx context.Context) qhrollout.Report {
+	GinkgoHelper()
+	report, err := f.Look(ctx)
+	Expect(err).NotTo(HaveOccurred())
+	return report
+}
+
+func on(version qhid.Version, nodes int) qhstatus.Count {
+	return qhstatus.Count{Version: version, Nodes: nodes}
+}
+
+func relay(holder qhid.Node, members int, counts ...qhstatus.Count) qhstatus.Relay {
+	return qhstatus.Relay{Holder: holder, Members: members, Summary: qhstatus.Summary{Versions: counts}}
+}
+
+var _ = Describe("Watcher", func() {
+	var f *fleet
+
+	BeforeEach(func() { f = newFleet() })
+
+	It("counts nothing that was told before its first look", func(ctx SpecContext) {
+		f.renew(ctx, "kigali-a", 0, relay("a-1", 3, on(12, 3)))
+		Expect(f.look(ctx)).To(And(HaveField("Complete()", false), HaveField("Pending()", true), HaveField("InForce", 0)))
+		f.renew(ctx, "kigali-a", 0, relay("a-1", 3, on(12, 3)))
+		Expect(f.look(ctx)).To(And(HaveField("Complete()", true), HaveField("InForce", 3)))
+	})
+
+	It("takes a relay that does not renew for silent, at first and later", func(ctx SpecContext) {
+		f.renew(ctx, "kigali-a", 0, relay("a-1", 2, on(12, 2)))
+		f.renew(ctx, "kigali-b", 0, relay("b-1", 1, on(12, 1)))
+		f.look(ctx)
+		f.renew(ctx, "kigali-a", 0, relay("a-1", 2, on(12, 2)))
+		f.now = f.now.Add(patience - time.Second)
+		Expect(f.look(ctx)).To(And(HaveField("Pending()", true), HaveField("InForce", 2)))
+		f.now = f.now.Add(time.Second)
+		report := f.look(ctx)
+		Expect(report).To(And(HaveField("Pending()", false), HaveField("Complete()", false), HaveField("InForce", 2)))
+		Expect(report.Zones[1]).To(Equal(qhrollout.Zone{
+			Zone: "kigali-b", Versions: []qhstatus.Count{}, Silent: []qhlease.Slot{0},
+		}))
+		f.now = f.now.Add(patience)
+		Expect(f.look(ctx).InForce).To(Equal(0))
+	})
+
+	It("is complete where a slot is silent and the others count all members", func(ctx SpecContext) {
+		f.renew(ctx, "kigali-a", 0, relay("a-1", 4, on(12, 2)))
+		f.renew(ctx, "kigali-a", 1, relay("a-2", 4, on(12, 2)))
+		f.look(ctx)
+		f.now = f.now.Add(patience)
+		f.renew(ctx, "kigali-a", 1, relay("a-2", 3, on(12, 2)))
+		Expect(f.look(ctx)).To(And(HaveField("Complete()", false), HaveField("Nodes", 3), HaveField("InForce", 2)))
+		f.renew(ctx, "kigali-a", 1, relay("a-2", 3, on(12, 3)))
+		Expect(f.look(ctx).Complete()).To(BeTrue())
+	})
+
+	It("counts a newer version as in force, an older one and none as lacking", func(ctx SpecContext) {
+		f.renew(ctx, "kigali-a", 0, relay("a-1", 3))
+		f.look(ctx)
+		f.renew(ctx, "kigali-a", 0, relay("a-1", 4, on(0, 1), on(11, 1), on(13, 1)))
+		Expect(f.look(ctx)).To(And(HaveField("Nodes", 4), HaveField("InForce", 1), HaveField("Stuck()", false)))
+	})
+
+	It("leaves free slots out", func(ctx SpecContext) {
+		f.renew(ctx, "kigali-a", 0, qhstatus.Relay{})
+		Expect(f.look(ctx).Zones).To(BeEmpty())
+	})
+
+	It("ends a wait where all that lack the version refuse it", func(ctx SpecContext) {
+		told := relay("a-1", 2, on(11, 1), on(12, 1))
+		told.Summary.Refused = 1
+		told.Summary.Refusals = []qhstatus.Refusal{{Node: "a-2", Version: 12, Reason: "bad"}}
+		f.renew(ctx, "kigali-a", 0, told)
+		f.look(ctx)
+		f.renew(ctx, "kigali-a", 0, told)
+		report, err := f.Wait(ctx, time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(report.Stuck()).To(BeTrue())
+	})
+
+	It("waits through an outage of the platform, and tells of one that lasts", func(ctx SpecContext) {
+		f.memory.SetFaults(qhplatform.Faults{Down: true})
+		short, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+		defer cancel()
+		_, err := f.Wait(short, time.Millisecond)
+		Expect(err).To(MatchError(ContainSubstring("the platform is down")))
+		_, err = f.Judge(ctx, time.Millisecond)
+		Expect(err).To(MatchError(ContainSubstring("the platform is down")))
+	})
+})
--- a/qhintent/parse.go
+++ b/qhintent/parse.go
@@ -2,16 +2,22 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 
+	"quetzalhaven.dev/qherr"
 	"quetzalhaven.dev/qhsetting"
 )
 
 // Load reads a file of intents. Its errors are of kind BadInput and name file,
 // line, key and remedy.
 func Load(path string) (File, error) {
-	return qhsetting.Load(path, qhsetting.Spec[File]{Check: check})
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return File{}, qherr.New(qherr.BadInput, err, "name a file that exists and can be read", "can't read the intents")
+	}
+	return Parse(path, data)
 }
 
 // Parse is Load of data that was read before. path is for the errors.
--- a/qhplan/confirm.go
+++ b/qhplan/confirm.go
@@ -184,8 +184,8 @@
 	case qherr.Unavailable:
 		return qherr.New(qherr.Unavailable, err, "nothing was changed, confirm it again when the platform answers", "plan %s was not confirmed", id)
 	case qherr.Unknown:
-		return qherr.New(qherr.Unknown, err, "confirm it again, it takes effect once at most, or ask qhctl explain "+string(id),
-			"plan %s may or may not be in effect", id)
+		return qherr.New(qherr.Unknown, nil, "confirm it again, it takes effect once at most, or ask qhctl explain "+string(id),
+			"the platform's answer was lost: plan %s may or may not be in effect", id)
 	default:
 		return err
 	}
--- a/qhplan/explain.go
+++ b/qhplan/explain.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qherr"
@@ -29,6 +31,7 @@
 	Plan   qhid.Plan `json:"plan"`
 	Author string    `json:"author"`
 	Reason string    `json:"reason"`
+	Time   time.Time `json:"time"`
 	// Version is the one that it made, 0 where it is not known to be in effect.
 	Version qhid.Version `json:"version,omitempty"`
 }
@@ -156,7 +159,7 @@
 	return err
 }
 
-// rivals returns the other plans of the plan's base.
+// rivals returns the other plans of the plan's base, the oldest first.
 func (p *Planner) rivals(ctx context.Context, plan Plan) ([]Rival, error) {
 	plans, err := p.plansOf(ctx, plan.Base)
 	if err != nil {
@@ -167,12 +170,13 @@
 		if other.ID == plan.ID {
 			continue
 		}
-		rival := Rival{Plan: other.ID, Author: other.Author, Reason: other.Reason}
+		rival := Rival{Plan: other.ID, Author: other.Author, Reason: other.Reason, Time: other.Time}
 		if other.Done != nil {
 			rival.Version = other.Done.Version
 		}
 		rivals = append(rivals, rival)
 	}
+	slices.SortStableFunc(rivals, func(a, b Rival) int { return a.Time.Compare(b.Time) })
 	return rivals, nil
 }
 
