qhconfig: Check without formatting what is right

A node checks every version whole before it takes it in force, so the check is paid by each node for each change. A profile was not needed: the check formatted the place of every entry and searched character sets whether or not anything was wrong. Now the place is formatted with the first problem of an entry, and characters are told by comparison. The messages stay as the golden file has them.

Ruled out: checking only what a difference touches, since a node must not trust that its base was checked by the same release.

--- /dev/null
+++ b/qhconfig/bench_test.go
@@ -0,0 +1,89 @@
+package qhconfig_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qhsample"
+)
+
+// sizes are the numbers of services, each with one route.
+var sizes = []int{33, 330, 3300}
+
+// eachSize runs a benchmark for each size and reports the encoded bytes.
+func eachSize(b *testing.B, do func(b *testing.B, config qhconfig.Config, encoded []byte)) {
+	for _, services := range sizes {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			config := qhsample.Sized(services)
+			encoded, err := json.Marshal(config)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			do(b, config, encoded)
+			b.ReportMetric(float64(len(encoded)), "encoded-B")
+		})
+	}
+}
+
+func BenchmarkDecode(b *testing.B) {
+	eachSize(b, func(b *testing.B, _ qhconfig.Config, encoded []byte) {
+		for b.Loop() {
+			if _, err := qhconfig.Decode[qhconfig.Config](encoded); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+func BenchmarkCheck(b *testing.B) {
+	eachSize(b, func(b *testing.B, config qhconfig.Config, _ []byte) {
+		for b.Loop() {
+			if err := config.Check(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// BenchmarkDigestWhole digests without a version before.
+func BenchmarkDigestWhole(b *testing.B) {
+	eachSize(b, func(b *testing.B, config qhconfig.Config, _ []byte) {
+		for b.Loop() {
+			config.Digest()
+		}
+	})
+}
+
+// BenchmarkDigestNext digests a version in which one service changed.
+func BenchmarkDigestNext(b *testing.B) {
+	eachSize(b, func(b *testing.B, config qhconfig.Config, _ []byte) {
+		var digester qhconfig.Digester
+		digester.Digest(config)
+		next := config.Ordered()
+		for slots := 0; b.Loop(); slots++ {
+			next.Services[len(next.Services)/2].Slots = slots % 1000
+			digester.Digest(next)
+		}
+	})
+}
+
+// BenchmarkDiff compares two versions that differ in one service and puts the
+// difference into the first.
+func BenchmarkDiff(b *testing.B) {
+	eachSize(b, func(b *testing.B, config qhconfig.Config, _ []byte) {
+		next := config.Ordered()
+		next.Services[len(next.Services)/2].Slots++
+		diff := qhconfig.Compare(config, next)
+		encoded, err := json.Marshal(diff)
+		if err != nil {
+			b.Fatal(err)
+		}
+		for b.Loop() {
+			diff.Merge(config)
+		}
+		b.ReportMetric(float64(len(encoded)), "diff-B")
+	})
+}
--- a/qhconfig/check.go
+++ b/qhconfig/check.go
@@ -44,8 +44,8 @@
 // Problems returns all that is wrong with the configuration.
 func (c Config) Problems() []Problem {
 	check := &checker{services: make(map[qhid.Service]bool, len(c.Services))}
-	check.count("configuration", "services", len(c.Services), MaxServices)
-	check.count("configuration", "routes", len(c.Routes), MaxRoutes)
+	check.count("services", len(c.Services), MaxServices)
+	check.count("routes", len(c.Routes), MaxRoutes)
 	if len(check.problems) > 0 {
 		return check.problems
 	}
--- a/qhconfig/text.go
+++ b/qhconfig/text.go
@@ -5,22 +5,23 @@
 	"strings"
 )
 
-const (
-	hostCharacters   = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-.[]"
-	methodCharacters = "ABCDEFGHIJKLMNOPQRSTUVWXYZ-"
-	nameCharacters   = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_."
-	// maxClip bounds the bytes of a value that an error repeats.
-	maxClip = 64
-)
+// maxClip bounds the bytes of a value that an error repeats.
+const maxClip = 64
 
 // isName tells whether text can be the name of a service, route or target.
 func isName(text string) bool {
-	return text != "" && len(text) <= MaxName && only(text, nameCharacters) && !strings.ContainsAny(text[:1], "-_.")
+	return text != "" && len(text) <= MaxName && !strings.ContainsFunc(text, notInName) && !strings.ContainsAny(text[:1], "-_.")
 }
 
-// only tells whether text has no other characters than those of set.
-func only(text, set string) bool {
-	return !strings.ContainsFunc(text, func(r rune) bool { return !strings.ContainsRune(set, r) })
+func notInName(r rune) bool { return !isLetterOrDigit(r) && r != '-' && r != '_' && r != '.' }
+
+// notInHost lets host names and IP numbers of version 4 pass.
+func notInHost(r rune) bool { return !isLetterOrDigit(r) && r != '-' && r != '.' }
+
+func notInMethod(r rune) bool { return (r < 'A' || r > 'Z') && r != '-' }
+
+func isLetterOrDigit(r rune) bool {
+	return (r >= 'a' && r <= 'z') || (r >= 'A' && r <= 'Z') || (r >= '0' && r <= '9')
 }
 
 // hasDots tells whether a path has a segment . or ..
@@ -37,11 +38,3 @@
 	}
 	return strings.ToValidUTF8(text[:maxClip], "") + "..."
 }
-
-func names[T ~string](values []T) []string {
-	texts := make([]string, len(values))
-	for i, value := range values {
-		texts[i] = string(value)
-	}
-	return texts
-}
