--- a/qhsite/load_test.go
+++ b/qhsite/load_test.go
@@ -46,7 +46,7 @@
 	calls []call
 	// done counts calls that were answered.
 	done atomic.Int64
-	stop  func()
+	stop func()
 }
 
 // startLoad sends calls through the nodes in turn. With keys, every key is sent
