--- a/qhplan/confirm.go
+++ b/qhplan/confirm.go
@@ -75,10 +75,11 @@
 	return Confirmed{Plan: plan.ID, Version: made.Version, Before: before, Base: plan.Base}
 }
 
-// overtaken is the conflict of a commit whose base moved on meanwhile.
+// overtaken is the error of a commit whose base moved on meanwhile, maybe by
+// the same plan.
 type overtaken struct{ error }
 
-// Unwrap returns the conflict.
+// Unwrap returns the error of the commit.
 func (o overtaken) Unwrap() error { return o.error }
 
 func isOvertaken(err error) bool { return errors.As(err, &overtaken{}) }
@@ -97,14 +98,23 @@
 		Reason: plan.Reason,
 		Time:   p.now().UTC(),
 	})
-	if qherr.Is(err, qherr.Conflict) {
-		return qhhead.Head{}, overtaken{err}
+	if qherr.Is(err, qherr.Conflict) || qherr.Is(err, qherr.Refused) {
+		return qhhead.Head{}, overtaken{err} // the configuration passed its check in next
 	}
 	return made, err
 }
 
-// next returns what the plan makes of the head's configuration.
+// next returns what the plan makes of the head's configuration, checked.
 func (p *Planner) next(ctx context.Context, plan Plan, head qhhead.Head) (qhconfig.Config, error) {
+	config, err := p.merged(ctx, plan, head)
+	if err != nil {
+		return qhconfig.Config{}, err
+	}
+	return config, config.Check()
+}
+
+// merged returns the plan's difference put into the head's configuration.
+func (p *Planner) merged(ctx context.Context, plan Plan, head qhhead.Head) (qhconfig.Config, error) {
 	if head.Version < plan.Base {
 		return qhconfig.Config{}, qherr.New(qherr.Unavailable, nil, "confirm it again in a moment",
 			"the platform tells version %d, which is older than the base %d of plan %s", head.Version, plan.Base, plan.ID)
