qhsite: Read metrics whose labels hold spaces

Cause: the line of a metric was cut at its first space, so the Go runtime's own metrics could not be read and the demo ended after the first plan. Change: the line is cut at its last space.

--- a/qhsite/metrics.go
+++ b/qhsite/metrics.go
@@ -47,10 +47,12 @@
 	}
 	values := make(map[string]float64)
 	for line := range strings.Lines(string(text)) {
-		name, value, ok := strings.Cut(strings.TrimSpace(line), " ")
-		if !ok || strings.HasPrefix(name, "#") {
+		line = strings.TrimSpace(line)
+		at := strings.LastIndexByte(line, ' ') // labels may hold spaces
+		if at < 0 || strings.HasPrefix(line, "#") {
 			continue
 		}
+		name, value := line[:at], line[at+1:]
 		number, err := strconv.ParseFloat(value, 64)
 		if err != nil {
 			return nil, fmt.Errorf("metric %s of %s has the value %q", name, n.Settings.ID, value)
