qhmember: Refuse entries that no later one can follow

An entry with the largest incarnation or sequence could not be answered by its node: the next number wraps to 0. Merge now passes such entries over.

--- a/qhmember/table.go
+++ b/qhmember/table.go
@@ -71,7 +71,7 @@
 	defer t.mu.Unlock()
 	var changed []Entry
 	for _, entry := range entries {
-		if entry.Node == "" || entry.Zone == "" {
+		if !sound(entry) {
 			continue
 		}
 		if kept, ok := t.merge(entry); ok {
@@ -82,6 +82,14 @@
 	return changed
 }
 
+// maxOrder bounds incarnations and sequences, so that there is always a later one.
+const maxOrder = 1 << 62
+
+// sound tells whether a node can have announced the entry.
+func sound(entry Entry) bool {
+	return entry.Node != "" && entry.Zone != "" && entry.Incarnation < maxOrder && entry.Sequence < maxOrder
+}
+
 func (t *Table) merge(entry Entry) (Entry, bool) {
 	known, ok := t.entries[entry.Node]
 	if ok && Compare(entry, known) <= 0 {
--- a/qhspread/detect.go
+++ b/qhspread/detect.go
@@ -188,4 +188,3 @@
 	})
 	return len(abroad) > 0
 }
-
--- a/qhspread/fleet_test.go
+++ b/qhspread/fleet_test.go
@@ -14,12 +14,12 @@
 	"go.uber.org/zap"
 
 	"quetzalhaven.dev/qhconfig"
-	"quetzalhaven.dev/qhsample"
 	"quetzalhaven.dev/qhhead"
 	"quetzalhaven.dev/qhhold"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmember"
 	"quetzalhaven.dev/qhplatform"
+	"quetzalhaven.dev/qhsample"
 	"quetzalhaven.dev/qhsetting"
 	"quetzalhaven.dev/qhspread"
 )
--- a/qhspread/leave.go
+++ b/qhspread/leave.go
@@ -45,4 +45,3 @@
 	})
 	return len(waiting) > 0
 }
-
--- a/qhspread/neighbor.go
+++ b/qhspread/neighbor.go
@@ -170,4 +170,3 @@
 	defer n.mu.Unlock()
 	return n.summary
 }
-
--- a/qhspread/spreader.go
+++ b/qhspread/spreader.go
@@ -53,8 +53,8 @@
 	Listener net.Listener
 	// Dial opens a connection to a node; that of package net where it is nil.
 	Dial    func(ctx context.Context, address qhid.Address) (net.Conn, error)
-	Log      *zap.Logger
-	Metrics  *metrics.Set
+	Log     *zap.Logger
+	Metrics *metrics.Set
 }
 
 // Spreader is one node's part in spreading configuration and membership.
--- a/qhspread/version_test.go
+++ b/qhspread/version_test.go
@@ -241,4 +241,3 @@
 	defer f.mu.Unlock()
 	return f.nodes[id]
 }
-
