qhctl: Name the availability zones that nothing is heard of

Cause: with one zone cut off from the platform the first line of status said "in force on 8 of 8 nodes", which is true of what was heard and reads as everywhere. Change: the first line names each zone that no relay speaks for, a zone whose relay may still renew says so, and no nodes at all is told as no report. Found by killing the only node of a fleet and asking. A golden file fixes the texts. Examples use the port of the operators' API as the settings of the deployments do. Ruled out: counting what a silent relay told last, since it may be gone.

--- a/qhctl/qhask/qhask.go
+++ b/qhctl/qhask/qhask.go
@@ -30,7 +30,7 @@
 // The error is of kind BadInput.
 func New(address qhid.Address) (*Node, func(), error) {
 	if _, err := netip.ParseAddrPort(string(address)); err != nil {
-		return nil, nil, qherr.New(qherr.BadInput, nil, "write an IP number and a port, such as 10.0.0.4:7104",
+		return nil, nil, qherr.New(qherr.BadInput, nil, "write an IP number and a port, such as 10.0.0.4:7105",
 			"%q is no address of a node's operators' API", string(address))
 	}
 	transport := &http.Transport{DisableCompression: true}
--- a/qhctl/qhcommand/explain.go
+++ b/qhctl/qhcommand/explain.go
@@ -58,7 +58,7 @@
 it), a plan (what it does, and what became of it), a node by the address of its
 operators' API (what it holds, and what it keeps out), or a call by its request
 id, as the node that --node names decided about it.`,
-		Example: "  qhctl explain 12\n  qhctl explain p12-0123456789ab\n  qhctl explain 10.0.0.4:7104\n  qhctl explain 5f0c62b1d9a3 --node 10.0.0.4:7104",
+		Example: "  qhctl explain 12\n  qhctl explain p12-0123456789ab\n  qhctl explain 10.0.0.4:7105\n  qhctl explain 5f0c62b1d9a3 --node 10.0.0.4:7105",
 		Args:    exactArgs("VERSION, PLAN, NODE-ADDRESS or REQUEST"),
 	}
 	as := command.Flags().String("as", "", "what the argument is: version, plan, node or request (default what it looks like)")
--- a/qhctl/qhcommand/node.go
+++ b/qhctl/qhcommand/node.go
@@ -19,7 +19,7 @@
 		Long: `Shows the settings in use, the version held and those kept out, members, links,
 targets as they were announced and as they were seen, and recent decisions of
 the node at the address, or of the one that --node names. It is always JSON.`,
-		Example: "  qhctl dump 10.0.0.4:7104",
+		Example: "  qhctl dump 10.0.0.4:7105",
 		Args:    atMostOne("NODE-ADDRESS"),
 	}
 	command.RunE = s.run(func(command *cobra.Command, args []string) error {
@@ -39,7 +39,7 @@
 	command := &cobra.Command{
 		Use:     "members [NODE-ADDRESS]",
 		Short:   "List the nodes and targets that a node knows",
-		Example: "  qhctl members --node 10.0.0.4:7104",
+		Example: "  qhctl members --node 10.0.0.4:7105",
 		Args:    atMostOne("NODE-ADDRESS"),
 	}
 	command.RunE = s.run(func(command *cobra.Command, args []string) error {
--- a/qhctl/qhcommand/status.go
+++ b/qhctl/qhcommand/status.go
@@ -32,7 +32,8 @@
 		Long: `Tells on how many nodes the newest version is in force, by availability zone,
 and who refuses it. The relays of each availability zone add this up and put it
 on the platform. Only what a relay told after the command began is counted, so
-that it takes as long as a relay's renewal.
+that it takes as long as a relay's renewal. An availability zone whose relays
+are silent is named: it may be cut off from the platform, or gone.
 
 With --wait it returns once the version is in force on every node, or else says
 which availability zones lack it, with exit status 1, or 3 where all that lack
@@ -108,7 +109,7 @@
 	switch {
 	case report.Complete():
 		return nil
-	case len(report.Zones) == 0:
+	case report.Nodes == 0:
 		return qherr.New(qherr.Unavailable, nil, "check that nodes run and reach the platform", "%s", qhtext.Headline(report))
 	case report.Stuck():
 		return qherr.New(qherr.Refused, nil, "look at the node with qhctl explain NODE-ADDRESS, and go back with qhctl back", "%s", qhtext.Headline(report))
--- a/qhctl/qhtext/status.go
+++ b/qhctl/qhtext/status.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"quetzalhaven.dev/qhctl/qhrollout"
+	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhstatus"
 )
 
@@ -28,16 +29,30 @@
 	if report.Version == 0 {
 		return "no version was confirmed yet"
 	}
-	if len(report.Zones) == 0 {
-		return fmt.Sprintf("version %d: no relay of any availability zone has reported", report.Version)
+	if report.Nodes == 0 {
+		return fmt.Sprintf("version %d: no relay of any availability zone reports", report.Version)
 	}
 	text := fmt.Sprintf("version %d: in force on %d of %s", report.Version, report.InForce, plural(report.Nodes, "node"))
+	if silent := silentZones(report); len(silent) > 0 {
+		text += "; nothing heard of " + joined(silent)
+	}
 	if report.Refused > 0 {
-		text += fmt.Sprintf("; %s", refusals(report))
+		text += "; " + refusals(report)
 	}
 	return text
 }
 
+// silentZones returns the availability zones that no relay speaks for.
+func silentZones(report qhrollout.Report) []qhid.Zone {
+	var silent []qhid.Zone
+	for _, zone := range report.Zones {
+		if zone.Nodes == 0 {
+			silent = append(silent, zone.Zone)
+		}
+	}
+	return silent
+}
+
 func refusals(report qhrollout.Report) string {
 	verb := "refuse"
 	if report.Refused == 1 {
@@ -60,7 +75,7 @@
 	for _, zone := range report.Zones {
 		switch {
 		case zone.Nodes == 0:
-			parts = append(parts, fmt.Sprintf("%s: not reported", zone.Zone))
+			parts = append(parts, fmt.Sprintf("%s: nothing heard", zone.Zone))
 		case zone.InForce < zone.Nodes:
 			parts = append(parts, fmt.Sprintf("%s: %d of %d", zone.Zone, zone.InForce, zone.Nodes))
 		}
@@ -91,8 +106,12 @@
 }
 
 func note(zone qhrollout.Zone) string {
-	if len(zone.Silent) == 0 {
+	switch {
+	case len(zone.Silent) > 0:
+		return fmt.Sprintf("%s silent", plural(len(zone.Silent), "relay slot"))
+	case zone.Pending:
+		return "a relay has not renewed yet"
+	default:
 		return "-"
 	}
-	return fmt.Sprintf("%s silent", plural(len(zone.Silent), "relay slot"))
 }
--- /dev/null
+++ b/qhctl/qhtext/status_test.go
@@ -0,0 +1,46 @@
+package qhtext_test
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qhctl/qhrollout"
+	"quetzalhaven.dev/qhctl/qhtext"
+	"quetzalhaven.dev/qhgolden"
+	"quetzalhaven.dev/qhlease"
+	"quetzalhaven.dev/qhstatus"
+)
+
+func TestSpecs(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "qhtext")
+}
+
+var _ = Describe("Status", func() {
+	It("tells how far a version is in force, who refuses it and what is not known", func() {
+		refusal := qhstatus.Refusal{Node: "kigali-b-2", Version: 12, Reason: "route \"urns\": shares add up to 90"}
+		reports := []qhrollout.Report{
+			{},
+			{Version: 12},
+			{Version: 12, Nodes: 2, InForce: 2, Zones: []qhrollout.Zone{
+				{Zone: "kigali-a", Nodes: 2, InForce: 2, Versions: []qhstatus.Count{{Version: 12, Nodes: 2}}},
+			}},
+			{Version: 12, Nodes: 6, InForce: 4, Refused: 1, Refusals: []qhstatus.Refusal{refusal}, Zones: []qhrollout.Zone{
+				{Zone: "kigali-a", Nodes: 3, InForce: 3, Versions: []qhstatus.Count{{Version: 12, Nodes: 2}, {Version: 13, Nodes: 1}}},
+				{Zone: "kigali-b", Nodes: 3, InForce: 1, Versions: []qhstatus.Count{{Version: 0, Nodes: 1}, {Version: 12, Nodes: 1}}, Pending: true},
+				{Zone: "kigali-c", Silent: []qhlease.Slot{0, 2}},
+			}},
+		}
+		var text strings.Builder
+		writer := qhtext.NewWriter(&text)
+		for _, report := range reports {
+			writer.Status(report)
+			writer.Line("lacking: %s\n", qhtext.Lacking(report))
+		}
+		Expect(writer.Err()).NotTo(HaveOccurred())
+		Expect(text.String()).To(qhgolden.Match("testdata/status.golden"))
+	})
+})
--- a/qhplan/fixture_test.go
+++ b/qhplan/fixture_test.go
@@ -92,7 +92,7 @@
 }
 
 func kigali(_ context.Context, services []qhid.Service) (qhid.Address, qhoperate.Reach, error) {
-	return "127.0.0.1:7104", qhoperate.Reach{Nodes: 6, Zones: []qhoperate.ZoneReach{
+	return "127.0.0.1:7105", qhoperate.Reach{Nodes: 6, Zones: []qhoperate.ZoneReach{
 		{Zone: "kigali-a", Nodes: 2, Targets: len(services)}, {Zone: "kigali-b", Nodes: 4, Targets: 3},
 	}}, nil
 }
