qhplan: Prune the plans of versions that are gone

They are listed by the two leading digits of their bases, since one list of all would be one answer of any size. Ruled out: deleting a plan when it is confirmed, which would lose its reasons and let it be told as not existing to an operator whose answer was lost. A prune that runs out of time says so and goes on where it ended; its bound is ten minutes, since each deletion is a call.

--- a/qhctl/qhcommand/prune.go
+++ b/qhctl/qhcommand/prune.go
@@ -1,11 +1,16 @@
 package qhcommand
 
 import (
+	"context"
+	"time"
+
 	"github.com/spf13/cobra"
 
 	"quetzalhaven.dev/qhctl/qhtext"
 	"quetzalhaven.dev/qherr"
 	"quetzalhaven.dev/qhhead"
+	"quetzalhaven.dev/qhplan"
+	"quetzalhaven.dev/qhplatform"
 )
 
 const (
@@ -13,6 +18,8 @@
 	keptVersions = 1000
 	// leastVersions is the least that it can be told to keep.
 	leastVersions = 32
+	// pruneTimeout bounds a prune.
+	pruneTimeout = 10 * time.Minute
 )
 
 // newPrune returns the command that deletes old versions.
@@ -20,9 +27,9 @@
 	command := &cobra.Command{
 		Use:   "prune",
 		Short: "Delete old versions from the platform",
-		Long: `Deletes the records and parts of old versions. The newest versions stay whole,
-and commits that run meanwhile are not harmed. A version that was deleted can't
-be gone back to or explained any more.`,
+		Long: `Deletes the records and parts of old versions, and the plans that were made from
+them. The newest versions stay whole, and commits that run meanwhile are not
+harmed. A version that was deleted can't be gone back to or explained any more.`,
 		Example: "  qhctl prune --keep 1000",
 		Args:    exactArgs(),
 	}
@@ -36,9 +43,9 @@
 			return err
 		}
 		defer cleanup()
-		ctx, cancel := s.context(command.Context(), waitTimeout)
+		ctx, cancel := s.context(command.Context(), pruneTimeout)
 		defer cancel()
-		pruned, err := qhhead.New(qhhead.Options{Store: store}).Prune(ctx, *keep)
+		pruned, err := prune(ctx, store, *keep)
 		if err != nil {
 			return err
 		}
@@ -47,9 +54,36 @@
 	return command
 }
 
-func writePruned(w *qhtext.Writer, pruned qhhead.Pruned) {
-	w.Line("deleted %d records and %d parts, %d bytes", pruned.Records, pruned.Parts, pruned.Size)
-	if pruned.Left > 0 {
-		w.Line("%d more could not be deleted now; prune again later", pruned.Left)
+func prune(ctx context.Context, store qhplatform.Store, keep int) (Pruned, error) {
+	chain := qhhead.New(qhhead.Options{Store: store})
+	versions, err := chain.Prune(ctx, keep)
+	if err != nil {
+		return Pruned{}, unpruned(ctx, err)
+	}
+	plans, err := qhplan.New(qhplan.Options{Store: store, Chain: chain}).Prune(ctx, keep)
+	if err != nil {
+		return Pruned{}, unpruned(ctx, err)
+	}
+	return Pruned{Versions: versions, Plans: plans}, nil
+}
+
+// unpruned says what an error means for what is kept.
+func unpruned(ctx context.Context, err error) error {
+	if ctx.Err() == nil {
+		return err
+	}
+	return qherr.New(qherr.Unavailable, err, "prune again, it goes on where it ended, or lengthen --timeout", "the time was over before all was pruned")
+}
+
+// Pruned is what prune deleted.
+type Pruned struct {
+	Versions qhhead.Pruned `json:"versions"`
+	Plans    qhplan.Pruned `json:"plans"`
+}
+
+func writePruned(w *qhtext.Writer, pruned Pruned) {
+	w.Line("deleted %d records, %d parts and %d plans", pruned.Versions.Records, pruned.Versions.Parts, pruned.Plans.Plans)
+	if left := pruned.Versions.Left + pruned.Plans.Left; left > 0 {
+		w.Line("%d more could not be deleted now; prune again later", left)
 	}
 }
--- a/qhctl/qhcommand/session.go
+++ b/qhctl/qhcommand/session.go
@@ -51,7 +51,7 @@
 	flags.StringVar(&s.flags.Author, "author", "", "who plans and confirms (default the user of the system)")
 	flags.StringVar(&s.settings, "settings", "", "file with platform, node and author, JSON with comments")
 	flags.StringVarP(&s.output, "output", "o", outputText, "text or json")
-	flags.DurationVar(&s.timeout, "timeout", 0, "bound of the command (default 15s, 1m0s for status --wait)")
+	flags.DurationVar(&s.timeout, "timeout", 0, "bound of the command (default 15s, 1m0s for status --wait, 10m0s for prune)")
 	_ = root.MarkPersistentFlagFilename("settings") // the flag exists
 	complete := cobra.FixedCompletions([]string{outputText, outputJSON}, cobra.ShellCompDirectiveNoFileComp)
 	_ = root.RegisterFlagCompletionFunc("output", complete) // the flag exists
