--- a/qhhead/commit.go
+++ b/qhhead/commit.go
@@ -214,7 +214,7 @@
 	if err != nil {
 		return loaded{}, err
 	}
-	record, parts, err := draft(change, base)
+	record, parts, err := c.draft(change, base)
 	if err != nil {
 		return loaded{}, err
 	}
@@ -241,7 +241,7 @@
 }
 
 // draft returns the record of the change, and its parts where it has some.
-func draft(change Change, base loaded) (Record, []encoded, error) {
+func (c *Chain) draft(change Change, base loaded) (Record, []encoded, error) {
 	diff := qhconfig.Compare(base.config, change.Config)
 	diff.Base, diff.Next = change.Base.Version, change.Base.Version+1
 	record := Record{
@@ -259,14 +259,14 @@
 	if err != nil {
 		return Record{}, nil, err
 	}
-	large := len(data) > int(maxDiff)
+	large := len(data) > int(c.maxDiff)
 	if large {
 		record.Diff = nil
 	}
 	if !large && change.Base.Version > 0 && record.Depth < maxDepth {
 		return record, nil, nil
 	}
-	parts, err := split(change.Config)
+	parts, err := split(change.Config, c.partSize)
 	record.Depth = 0
 	for _, part := range parts {
 		record.Parts = append(record.Parts, part.digest)
--- a/qhhead/head.go
+++ b/qhhead/head.go
@@ -69,6 +69,10 @@
 // Chain reads and moves the chain of versions. It is safe for several goroutines.
 type Chain struct {
 	store qhplatform.Store
+	// partSize is the size that parts have on average at most.
+	partSize qhid.Bytes
+	// maxDiff bounds the difference that a record has in it.
+	maxDiff qhid.Bytes
 
 	mu sync.Mutex
 	// loaded is the version that was loaded or committed last.
@@ -85,7 +89,9 @@
 }
 
 // New returns the chain on the store.
-func New(opts Options) *Chain { return &Chain{store: opts.Store} }
+func New(opts Options) *Chain {
+	return &Chain{store: opts.Store, partSize: partSize, maxDiff: maxDiff}
+}
 
 // Read returns the head as the platform tells it, or a zero Head where no
 // version was ever committed. The platform may tell an old head.
--- a/qhhead/history_test.go
+++ b/qhhead/history_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -197,7 +196,7 @@
 			done.Add(1)
 			group.Go(func(ctx context.Context) {
 				defer done.Done()
-				h.operate(ctx, client, faulty(memory.Store(), seed*operators+uint64(client)), commit)
+				h.operate(ctx, client, faulty(memory.Store(), newFaults(seed*operators+uint64(client))), commit)
 			})
 		}
 		done.Wait()
@@ -235,39 +234,3 @@
 	}
 	t.Fatal("no history of blind writers was found illegal")
 }
-
-// faulty returns the store with the faults that the seed draws: calls that are
-// slow or refused, writes whose answer is lost before or after they take effect
-// and ones that take effect late, and reads of old objects.
-func faulty(store qhplatform.Store, seed uint64) qhplatform.Store {
-	f := &faults{
-		random: rand.New(rand.NewPCG(seed, 1)),
-		losses: []int{2, 5, 9}[seed%3],
-		seen:   make(map[qhplatform.Key]qhplatform.Object),
-	}
-	inner := store
-	store.Get = func(ctx context.Context, key qhplatform.Key) (qhplatform.Object, error) {
-		if err := f.before(ctx); err != nil {
-			return qhplatform.Object{}, err
-		}
-		object, err := inner.Get(ctx, key)
-		return f.stale(object, err)
-	}
-	store.Create = func(ctx context.Context, key qhplatform.Key, value []byte) (qhplatform.Revision, error) {
-		return f.write(ctx, func() (qhplatform.Revision, error) {
-			return inner.Create(context.WithoutCancel(ctx), key, value)
-		})
-	}
-	store.Update = func(ctx context.Context, key qhplatform.Key, value []byte, at qhplatform.Revision) (qhplatform.Revision, error) {
-		return f.write(ctx, func() (qhplatform.Revision, error) {
-			return inner.Update(context.WithoutCancel(ctx), key, value, at)
-		})
-	}
-	store.Delete = func(ctx context.Context, key qhplatform.Key, at qhplatform.Revision) error {
-		_, err := f.write(ctx, func() (qhplatform.Revision, error) {
-			return 0, inner.Delete(context.WithoutCancel(ctx), key, at)
-		})
-		return err
-	}
-	return store
-}
--- a/qhhead/part.go
+++ b/qhhead/part.go
@@ -49,15 +49,16 @@
 	return qhid.Digest(hex.EncodeToString(sum[:]))
 }
 
-// split returns the parts of a configuration. Their number depends on its size
-// only and is a power of two, so that it seldom changes.
-func split(config qhconfig.Config) ([]encoded, error) {
+// split returns the parts of a configuration, on average of at most the size.
+// Their number depends on that of the configuration only and is a power of two,
+// so that it seldom changes.
+func split(config qhconfig.Config, size qhid.Bytes) ([]encoded, error) {
 	whole, err := encode(config)
 	if err != nil {
 		return nil, err
 	}
 	buckets := 1
-	for len(whole.data) > buckets*int(partSize) && buckets < maxParts {
+	for len(whole.data) > buckets*int(size) && buckets < maxParts {
 		buckets *= 2
 	}
 	for ; buckets <= maxParts; buckets *= 2 {
--- a/qhhead/prune.go
+++ b/qhhead/prune.go
@@ -58,7 +58,7 @@
 			pruned.add(object, c.store.Delete(ctx, object.key, object.revision))
 		}
 	}
-	return pruned, ctx.Err()
+	return pruned, nil
 }
 
 // stored is an object on the platform without its value.
