qhwire: Shorten what idle nodes send

An idle parent of many spent most of its bytes on answers to comparisons: each answer had the whole digest of the version, and every second exchange went to the parent. The answer now has the beginning of the digest, fields have names of one letter, and one exchange in four goes to a neighbor.

--- a/qhgroup/qhgroup.go
+++ b/qhgroup/qhgroup.go
@@ -15,7 +15,7 @@
 	// mu keeps Go and the clean-up apart.
 	mu      sync.RWMutex
 	stopped bool
-	ctx  context.Context //nolint:containedctx // the group is the context's owner
+	ctx     context.Context //nolint:containedctx // the group is the context's owner
 }
 
 // New returns a group and its clean-up, which cancels the context and waits
--- a/qhspread/exchange.go
+++ b/qhspread/exchange.go
@@ -16,6 +16,10 @@
 // repaired: shorter ones are news on their way.
 const settle = 500 * time.Millisecond
 
+// neighborTurns is in how many exchanges one is with a neighbor. Most are with a
+// random node, so that parents of many are not asked by all of them.
+const neighborTurns = 4
+
 // exchangeLoop compares with other nodes now and then.
 func (s *Spreader) exchangeLoop(ctx context.Context) {
 	period := time.Duration(s.Settings.Exchange)
@@ -29,7 +33,7 @@
 // availability zone, in turns by chance.
 func (s *Spreader) exchange(ctx context.Context) {
 	peers := s.list(func(n *neighbor) bool { return n.role != roleChild })
-	if len(peers) > 0 && rand.IntN(2) == 0 { //nolint:gosec // spreads load, no secret
+	if len(peers) > 0 && rand.IntN(neighborTurns) == 0 { //nolint:gosec // spreads load, no secret
 		s.compare(ctx, peers[rand.IntN(len(peers))].link) //nolint:gosec // spreads load, no secret
 		return
 	}
@@ -96,7 +100,7 @@
 		if err == nil {
 			_ = link.Notify(ctx, qhwire.KindContent, content) // a failure ends the link
 		}
-	case answer.Digest != digest:
+	case answer.Digest != qhwire.ShortDigest(digest):
 		s.counts.forks.Inc()
 		s.Log.Error("peer has other content for the same version", zap.String("peer", string(answer.Node)),
 			zap.Uint64("version", uint64(version)), zap.String("own", string(digest)), zap.String("other", string(answer.Digest)))
@@ -174,7 +178,7 @@
 
 func (s *Spreader) onCompare(_ context.Context, _ *qhwire.Link, question qhwire.Compare) (qhwire.Compared, error) {
 	version, digest := s.content.known()
-	answer := qhwire.Compared{Node: s.self, Version: version, Digest: digest, Sum: s.Members.Digest()}
+	answer := qhwire.Compared{Node: s.self, Version: version, Digest: qhwire.ShortDigest(digest), Sum: s.Members.Digest()}
 	if question.Zones {
 		answer.Zones = s.Members.Digests()
 	}
--- a/qhwire/fuzz_test.go
+++ b/qhwire/fuzz_test.go
@@ -41,7 +41,7 @@
 
 // FuzzNews decodes announcements of any bytes and merges what comes out.
 func FuzzNews(f *testing.F) {
-	f.Add([]byte(`{"e":[{"node":"a1","zone":"a","inc":1,"seq":2,"state":"up","targets":[{"id":"t","service":"s"}]}],"until":"b"}`))
+	f.Add([]byte(`{"e":[{"node":"a1","zone":"a","inc":1,"seq":2,"state":"up","targets":[{"id":"t","service":"s"}]}],"u":"b"}`))
 	f.Add([]byte(`{"e":[{"node":"self","zone":"a","inc":18446744073709551615,"seq":18446744073709551615,"state":"down"}]}`))
 	f.Add([]byte(`{"e":[{"node":"other","zone":"a","inc":18446744073709551615,"seq":1,"state":"down"}]}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/qhwire/message.go
+++ b/qhwire/message.go
@@ -37,55 +37,55 @@
 
 // Join asks a node to be the parent of the sender.
 type Join struct {
-	Node    qhid.Node    `json:"node"`
-	Zone    qhid.Zone    `json:"zone"`
-	Version qhid.Version `json:"version"`
+	Node    qhid.Node    `json:"n"`
+	Zone    qhid.Zone    `json:"z"`
+	Version qhid.Version `json:"v"`
 }
 
 // Hello asks a root for a link between roots.
 type Hello struct {
-	Node    qhid.Node    `json:"node"`
-	Zone    qhid.Zone    `json:"zone"`
-	Version qhid.Version `json:"version"`
+	Node    qhid.Node    `json:"n"`
+	Zone    qhid.Zone    `json:"z"`
+	Version qhid.Version `json:"v"`
 }
 
 // Joined answers a Join or a Hello. With neither To nor Wait it is accepted.
 type Joined struct {
-	Node    qhid.Node    `json:"node"`
-	Zone    qhid.Zone    `json:"zone"`
-	Version qhid.Version `json:"version"`
+	Node    qhid.Node    `json:"n"`
+	Zone    qhid.Zone    `json:"z"`
+	Version qhid.Version `json:"v"`
 	// Path leads from the root to the answering node, both in it.
-	Path []qhid.Node `json:"path,omitempty"`
+	Path []qhid.Node `json:"p,omitempty"`
 	// To is another node to ask instead.
-	To qhid.Address `json:"to,omitempty"`
+	To qhid.Address `json:"t,omitempty"`
 	// Wait is how long not to ask this node again.
-	Wait qhconfig.Duration `json:"wait,omitempty"`
+	Wait qhconfig.Duration `json:"w,omitempty"`
 	// Reason tells why it was not accepted.
-	Reason string `json:"reason,omitempty"`
+	Reason string `json:"r,omitempty"`
 }
 
 // Path tells a child the way from the root to its parent.
 type Path struct {
-	Path []qhid.Node `json:"path"`
+	Path []qhid.Node `json:"p"`
 }
 
 // Bye tells that the sender ends the link in good order.
 type Bye struct {
-	Reason string `json:"reason"`
+	Reason string `json:"r"`
 }
 
 // Have tells which version the sender has.
 type Have struct {
-	Version qhid.Version `json:"version"`
+	Version qhid.Version `json:"v"`
 }
 
 // Content brings a node to a version, by diffs that follow on each other or whole.
 type Content struct {
-	Version qhid.Version    `json:"version"`
-	Digest  qhid.Digest     `json:"digest,omitempty"`
-	Diffs   []qhconfig.Diff `json:"diffs,omitempty"`
+	Version qhid.Version    `json:"v"`
+	Digest  qhid.Digest     `json:"d,omitempty"`
+	Diffs   []qhconfig.Diff `json:"c,omitempty"`
 	// Whole is a packed qhconfig.Config.
-	Whole Packed `json:"whole,omitempty"`
+	Whole Packed `json:"w,omitempty"`
 }
 
 // News carries entries that are new to the sender.
@@ -94,37 +94,45 @@
 	// Until bounds the availability zones that the receiver passes the entries
 	// on to: those after its own and before this one, round the ring of names.
 	// It is empty between nodes of one availability zone.
-	Until qhid.Zone `json:"until,omitempty"`
+	Until qhid.Zone `json:"u,omitempty"`
 }
 
 // Compare asks for what the peer has.
 type Compare struct {
-	Version qhid.Version    `json:"version"`
-	Sum     qhmember.Digest `json:"sum"`
+	Version qhid.Version    `json:"v"`
+	Sum     qhmember.Digest `json:"s"`
 	// Zones asks for the digest of each availability zone.
-	Zones bool `json:"zones,omitempty"`
+	Zones bool `json:"z,omitempty"`
 }
 
 // Compared answers a Compare.
 type Compared struct {
-	Node    qhid.Node       `json:"node"`
-	Version qhid.Version    `json:"version"`
-	Digest  qhid.Digest     `json:"digest,omitempty"`
-	Sum     qhmember.Digest `json:"sum"`
+	Node    qhid.Node    `json:"n"`
+	Version qhid.Version `json:"v"`
+	// Digest is the beginning of the version's digest, see ShortDigest.
+	Digest qhid.Digest     `json:"d,omitempty"`
+	Sum    qhmember.Digest `json:"s"`
 	// Zones is the digest of each availability zone, where it was asked for.
-	Zones map[qhid.Zone]qhmember.Digest `json:"zones,omitempty"`
+	Zones map[qhid.Zone]qhmember.Digest `json:"z,omitempty"`
 }
 
 // Zone asks for the entries of an availability zone.
 type Zone struct {
-	Zone qhid.Zone `json:"zone"`
+	Zone qhid.Zone `json:"z"`
 }
 
 // Entries answers a Zone.
 type Entries struct {
 	// Entries are packed []qhmember.Entry.
-	Entries Packed `json:"entries"`
+	Entries Packed `json:"e"`
 }
 
 // Summary is what a child sends of itself and all below it.
 type Summary = qhstatus.Summary
+
+// shortDigest is how much of a digest is compared.
+const shortDigest = 8
+
+// ShortDigest returns the beginning of a digest, enough to find that two nodes
+// have other content for the same version.
+func ShortDigest(digest qhid.Digest) qhid.Digest { return digest[:min(shortDigest, len(digest))] }
