--- /dev/null
+++ b/qhproxy/leave_test.go
@@ -0,0 +1,218 @@
+package qhproxy
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhguard"
+	"quetzalhaven.dev/qhheader"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
+)
+
+var _ = Describe("leaving", func() {
+	ctx := context.Background()
+
+	It("cuts nothing when a node stops under load", func() {
+		f := newFleet(GinkgoTB(), route("urns", "/urns", "booking"))
+		a, b := f.node("a", "kigali-a"), f.node("b", "kigali-a")
+		work := func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			time.Sleep(5 * time.Millisecond)
+			_, _ = w.Write(body)
+		}
+		f.target("t1", "booking", "a", 9, work)
+		f.target("t2", "booking", "b", 9, work)
+		var stop atomic.Bool
+		var answers, refusals atomic.Int64
+		var callers sync.WaitGroup
+		for caller := range 12 {
+			callers.Go(func() {
+				defer GinkgoRecover()
+				for i := 0; !stop.Load(); i++ {
+					through, id := a, fmt.Sprintf("%d-%d", caller, i)
+					if caller%2 == 1 {
+						through = b
+					}
+					got := do(ctx, through, "POST", "/urns", id, strings.NewReader(id))
+					Expect(got.err).NotTo(HaveOccurred())
+					if got.status == http.StatusOK {
+						Expect(got.body).To(Equal(id))
+						answers.Add(1)
+						continue
+					}
+					Expect(through).To(Equal(b), got.body)
+					Expect(got.header.Get(qhheader.Outcome)).To(Equal(qhheader.NotRun), got.body)
+					Expect(got.header.Get(qhheader.RetryAfter)).NotTo(BeEmpty())
+					refusals.Add(1)
+					time.Sleep(5 * time.Millisecond)
+				}
+			})
+		}
+		defer callers.Wait()
+		defer stop.Store(true)
+		Eventually(answers.Load).WithTimeout(30 * time.Second).Should(BeNumerically(">", 100))
+		Expect(b.proxy.Drain(ctx)).To(Equal(Drained{}))
+		before := answers.Load() // the view does not say yet that b leaves
+		Eventually(answers.Load).WithTimeout(30 * time.Second).Should(BeNumerically(">", before+100))
+		Expect(b.calls.Config.Shutdown(ctx)).To(Succeed())
+		before = answers.Load()
+		Eventually(answers.Load).WithTimeout(30 * time.Second).Should(BeNumerically(">", before+100))
+		Expect(refusals.Load()).To(BeNumerically(">", 0))
+	})
+
+	It("gives a leaving target nothing new and lets it finish", func() {
+		f := newFleet(GinkgoTB(), route("urns", "/urns", "booking"))
+		a := f.node("a", "kigali-a")
+		release := make(chan struct{})
+		server := f.target("t1", "booking", "a", 1, func(w http.ResponseWriter, _ *http.Request) {
+			<-release
+			_, _ = io.WriteString(w, "whole")
+		})
+		first := f.later(a, "/urns", "r1")
+		guard := a.guards.Get("t1")
+		Eventually(func() int { return guard.Load().Running }).WithTimeout(20 * time.Second).Should(Equal(1))
+		queued := f.later(a, "/urns", "r2")
+		Eventually(func() int { return guard.Load().Queued }).WithTimeout(20 * time.Second).Should(Equal(1))
+		announcement := guard.Announcement()
+		announcement.State = qhmember.Leaving
+		a.guards.Put(announcement)
+		got := do(ctx, a, "GET", "/urns", "r3", nil)
+		Expect(got.header.Get(qhheader.Outcome)).To(Equal(qhheader.NotRun))
+		close(release)
+		Expect((<-first).body).To(Equal("whole"))
+		Expect((<-queued).body).To(Equal("whole"))
+		server.Close()
+	})
+
+	It("cuts what is left at the end of the grace period and tells how much", func() {
+		f := newFleet(GinkgoTB(), route("urns", "/urns", "booking"))
+		f.settings.Grace = qhconfig.Duration(50 * time.Millisecond)
+		a := f.node("a", "kigali-a")
+		cancelled := make(chan struct{})
+		f.target("t1", "booking", "a", 1, func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			close(cancelled)
+		})
+		got := f.later(a, "/urns", "r1")
+		Eventually(func() int { return a.guards.Get("t1").Load().Running }).WithTimeout(20 * time.Second).Should(Equal(1))
+		Expect(a.proxy.Drain(ctx)).To(Equal(Drained{Cut: 1}))
+		Expect((<-got).header.Get(qhheader.Outcome)).NotTo(Equal(qhheader.NotRun))
+		Eventually(cancelled).WithTimeout(20 * time.Second).Should(BeClosed())
+	})
+})
+
+var _ = Describe("time", func() {
+	ctx := context.Background()
+	timeout := func(value string) func(*http.Request) {
+		return func(r *http.Request) { r.Header.Set(qhheader.Timeout, value) }
+	}
+
+	It("is passed on and never grows", func() {
+		f := newFleet(GinkgoTB(), route("urns", "/urns", "booking", func(r *qhconfig.Route) { r.Timeout = qhconfig.Duration(5 * time.Second) }))
+		a, b := f.node("a", "kigali-a"), f.node("b", "kigali-a")
+		seen := make(chan string, 1)
+		f.target("t1", "booking", "b", 1, func(_ http.ResponseWriter, r *http.Request) { seen <- r.Header.Get(qhheader.Timeout) })
+		for given, most := range map[string]float64{"1.5": 1.5, "900": 5, "": 5} {
+			for _, n := range []*node{a, b} {
+				Expect(do(ctx, n, "GET", "/urns", "r", nil, timeout(given)).status).To(Equal(http.StatusOK))
+				var left float64
+				Expect(fmt.Sscan(<-seen, &left)).To(Equal(1))
+				Expect(left).To(And(BeNumerically("<", most), BeNumerically(">", 0)))
+			}
+		}
+		Expect(do(ctx, a, "GET", "/urns", "r", nil, timeout("soon")).status).To(Equal(http.StatusBadRequest))
+	})
+
+	It("ends a call at its deadline and cancels it at the target", func() {
+		f := newFleet(GinkgoTB(), route("urns", "/urns", "booking"))
+		a := f.node("a", "kigali-a")
+		f.node("b", "kigali-a")
+		cancelled := make(chan struct{}, 1)
+		f.target("t1", "booking", "b", 1, func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			cancelled <- struct{}{}
+		})
+		got := do(ctx, a, "GET", "/urns", "r1", nil, timeout("0.1"))
+		Expect(got.status).To(Equal(http.StatusGatewayTimeout))
+		Expect(got.header.Get(qhheader.Outcome)).To(Equal(qhheader.Unknown))
+		Eventually(cancelled).WithTimeout(20 * time.Second).Should(Receive())
+	})
+
+	It("drops work whose caller is gone from the queue", func() {
+		f := newFleet(GinkgoTB(), route("urns", "/urns", "booking"))
+		a := f.node("a", "kigali-a")
+		f.node("b", "kigali-a")
+		runs, release := &record{}, make(chan struct{})
+		f.target("t1", "booking", "b", 1, func(_ http.ResponseWriter, r *http.Request) {
+			runs.add(r)
+			<-release
+		})
+		guard := f.nodes["b"].guards.Get("t1")
+		first := f.later(a, "/urns", "r1")
+		Eventually(func() int { return guard.Load().Running }).WithTimeout(20 * time.Second).Should(Equal(1))
+		leaving, leave := context.WithCancel(ctx)
+		var gone sync.WaitGroup
+		gone.Go(func() { do(leaving, a, "GET", "/urns", "r2", nil) })
+		Eventually(func() int { return guard.Load().Queued }).WithTimeout(20 * time.Second).Should(Equal(1))
+		leave()
+		gone.Wait()
+		Eventually(func() int { return guard.Load().Queued }).WithTimeout(20 * time.Second).Should(BeZero())
+		close(release)
+		Expect((<-first).status).To(Equal(http.StatusOK))
+		Expect(runs.of("r2")).To(BeZero())
+	})
+
+	It("bounds the wait for a silent target, whose connection is not used again", func() {
+		f := newFleet(GinkgoTB(), route("urns", "/urns", "booking", func(r *qhconfig.Route) { r.Silence = qhconfig.Duration(100 * time.Millisecond) }))
+		a := f.node("a", "kigali-a")
+		listener := silent(GinkgoTB())
+		f.announce("t1", "booking", "a", 9, qhid.Address(listener.Addr().String()))
+		got := do(ctx, a, "GET", "/urns", "r1", nil)
+		Expect(got.status).To(Equal(http.StatusGatewayTimeout))
+		Expect(got.header.Get(qhheader.Reason)).To(Equal(string(qhdecision.Silent)))
+		Expect(got.header.Get(qhheader.Outcome)).To(Equal(qhheader.Unknown))
+		Expect(a.guards.Get("t1").Conns().Open()).To(BeZero())
+	})
+
+	It("is not held back where a call is refused", func() {
+		f := newFleet(GinkgoTB(), route("urns", "/urns", "booking"))
+		a := f.node("a", "kigali-a")
+		release := make(chan struct{})
+		f.target("t1", "booking", "a", 1, func(http.ResponseWriter, *http.Request) { <-release })
+		snapshot := *f.snapshot.Load()
+		snapshot.Services["booking"].Queue = 1
+		guard := a.guards.Get("t1")
+		first := f.later(a, "/urns", "r1")
+		Eventually(func() qhguard.Load { return guard.Load() }).WithTimeout(20 * time.Second).Should(HaveField("Running", 1))
+		second := f.later(a, "/urns", "r2")
+		Eventually(func() qhguard.Load { return guard.Load() }).WithTimeout(20 * time.Second).Should(HaveField("Queued", 1))
+		got := do(ctx, a, "GET", "/urns", "r3", nil, timeout("20")) // returns while both others wait
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header.Get(qhheader.Outcome)).To(Equal(qhheader.NotRun))
+		Expect(got.header.Get(qhheader.RetryAfter)).To(MatchRegexp(`^[1-9]\d*$`))
+		close(release)
+		Expect((<-first).status).To(Equal(http.StatusOK))
+		Expect((<-second).status).To(Equal(http.StatusOK))
+	})
+})
+
+// later sends a call whose answer comes later.
+func (f *fleet) later(n *node, path, id string) <-chan result {
+	answer := make(chan result, 1)
+	var waiting sync.WaitGroup
+	waiting.Go(func() { answer <- do(context.Background(), n, "GET", path, id, nil) })
+	f.t.Cleanup(waiting.Wait)
+	return answer
+}
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -220,5 +220,6 @@
 // readDetail returns the text of another node's failure.
 func readDetail(resp *http.Response) string {
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxDetail)) // a part of it is enough
-	return strings.TrimSpace(string(text))
+	_, detail, _ := strings.Cut(string(text), "): ")
+	return strings.TrimSpace(detail)
 }
