--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo unknown)
 LDFLAGS := -X main.version=$(VERSION)
 
-.PHONY: build demo test check lint fmt measure clean
+.PHONY: build demo fleet test check lint fmt measure clean
 
 # Builds the programs into bin/.
 build:
@@ -18,6 +18,11 @@
 	go build -o bin/demo ./examples/demo
 	bin/demo --bin bin --deployment $(DEPLOYMENT)
 
+# Starts the fleet of a deployment and keeps it for a first session.
+fleet: build
+	go build -o bin/demo ./examples/demo
+	bin/demo --bin bin --deployment $(DEPLOYMENT) --hold
+
 # Runs all tests with the race detector. Only entries of KNOWN-RED.txt may fail.
 test:
 	go run ./qhverdict $(MODULES)
--- a/examples/demo/main.go
+++ b/examples/demo/main.go
@@ -33,6 +33,7 @@
 
 func newCommand() *cobra.Command {
 	var bin, deployment string
+	var hold bool
 	cmd := &cobra.Command{
 		Use:           "demo",
 		Short:         "Run a deployment of the examples on this machine",
@@ -41,6 +42,9 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			if hold {
+				return holdFleet(cmd.Context(), bin, deployment)
+			}
 			ctx, cancel := context.WithTimeout(cmd.Context(), patience)
 			defer cancel()
 			return run(ctx, bin, deployment)
@@ -48,15 +52,22 @@
 	}
 	cmd.Flags().StringVar(&bin, "bin", "bin", "folder of the programs")
 	cmd.Flags().StringVar(&deployment, "deployment", "ingoma", "deployment: a folder under examples")
+	cmd.Flags().BoolVar(&hold, "hold", false, "change nothing, and keep the fleet running until interrupted")
 	return cmd
 }
 
-func run(ctx context.Context, bin, name string) error {
+// start starts a fleet of a deployment.
+func start(ctx context.Context, bin, name string) (*qhsite.Site, func(), error) {
 	deployment, err := qhsite.LoadDeployment(filepath.Join("examples", name))
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
-	site, stop, err := qhsite.New(ctx, qhsite.Options{Programs: qhsite.ProgramsIn(bin), Deployment: deployment})
+	return qhsite.New(ctx, qhsite.Options{Programs: qhsite.ProgramsIn(bin), Deployment: deployment})
+}
+
+// run shows the steps of a deployment.
+func run(ctx context.Context, bin, name string) error {
+	site, stop, err := start(ctx, bin, name)
 	if err != nil {
 		return err
 	}
