qhproxy: Keep a call unknown once an attempt may have run

Cause: a repeat took the outcome of its last attempt, so a call that broke off at one target and found the next one closed was told as not run, though it ran. Ruled out: the targets' node, whose refusals were true each by itself. Change: what one attempt left unknown stays unknown, whatever follows. Failed first: the new spec got not-run for stock-0, which its target had run.

--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -23,30 +23,39 @@
 func (c *call) send(ctx context.Context) (*answer, *failure) {
 	budget := c.proxy.budgets.Of(c.service.Name)
 	budget.Deposit()
-	var last *failure
+	var worst *failure
 	for c.attempt = 1; ; c.attempt++ {
 		choice, ok := c.proxy.balancer.Choose(c.view, c.service, &c.tried, time.Now())
 		if !ok {
-			return nil, c.noTarget(last)
+			return nil, c.noTarget(worst)
 		}
 		a, f := c.try(ctx, choice)
 		if f == nil {
 			return a, nil
 		}
 		c.tried.Add(choice.Endpoint)
+		worst = worse(worst, f)
 		if !c.mayRepeat(ctx, f) || !budget.Withdraw() {
-			return nil, f
+			return nil, worst
 		}
-		last = f
 		c.repeated(f, choice.Endpoint)
 	}
 }
 
-// noTarget is the failure where no endpoint is left. What an earlier attempt
-// left unknown stays unknown.
-func (c *call) noTarget(last *failure) *failure {
-	if last != nil {
-		return last
+// worse returns the failure that a call with two failed attempts has: the later
+// one, but what one attempt left unknown stays unknown. before may be nil.
+func worse(before, f *failure) *failure {
+	if before != nil && before.Outcome == qhheader.Unknown && f.Outcome == qhheader.NotRun {
+		return before
+	}
+	return f
+}
+
+// noTarget is the failure where no endpoint is left. before is that of the
+// attempts so far, or nil.
+func (c *call) noTarget(before *failure) *failure {
+	if before != nil {
+		return before
 	}
 	return notRun(qhdecision.NoTarget, http.StatusServiceUnavailable, defaultAfter, "no target of the service takes calls")
 }
