qhbalance: Leave an availability zone whose targets are lost

Cause: the panic threshold looked at the own availability zone alone. Where its one target of a service died, the evidence was doubted and the dead one was chosen for every call, though other zones had healthy ones; each call then cost a refused attempt and a repeat from the budget, which a fifth of the calls get. Ruled out: counting over all zones only, since a cut makes the others look dead and the own zone would be doubted with them. Change: the own zone's evidence is doubted only while the others are doubted too, or where nothing else is left to try.

--- a/qhbalance/choose.go
+++ b/qhbalance/choose.go
@@ -99,17 +99,27 @@
 // endpoint takes work that was not tried before.
 func (b *Balancer) Choose(view *qhmember.View, service *qhconfig.Service, tried *Tried, now time.Time) (Choice, bool) {
 	pool := b.pools.of(view, service.Name)
-	near := b.pick(&pool.near, service, tried, now).better()
+	nearby, others := b.pick(&pool.near, service, tried, now), b.pick(&pool.far, service, tried, now)
+	doubted := nearby.panicking
+	nearby.panicking = doubted && others.panicking // else the evidence fits: others are well
+	near := nearby.better()
 	if near.Endpoint != nil && fullness(near.Endpoint, now) < spillPercent {
 		near.explain(qhdecision.OwnZone)
 		return near, true
 	}
-	far := b.pick(&pool.far, service, tried, now).better()
+	far := others.better()
+	if near.Endpoint == nil && far.Endpoint == nil && doubted {
+		nearby.panicking = true
+		near = nearby.better()
+	}
 	switch {
+	case near.Endpoint != nil && far.Endpoint == nil:
+		near.explain(qhdecision.OwnZone)
+		return near, true
 	case near.Endpoint == nil:
 		far.explain(qhdecision.OtherZone)
 		return far, far.Endpoint != nil
-	case far.Endpoint == nil || far.Reason == qhdecision.Panic || fullness(far.Endpoint, now) >= spillPercent:
+	case far.Reason == qhdecision.Panic || fullness(far.Endpoint, now) >= spillPercent:
 		near.explain(qhdecision.OwnZone)
 		return near, true
 	default:
