--- a/qhlease/keeper.go
+++ b/qhlease/keeper.go
@@ -192,6 +192,9 @@
 	}
 	relay := qhstatus.Relay{Fence: held.relay.Fence, Renewal: held.relay.Renewal + 1}
 	_, err := k.write(ctx, &holding{slot: held.slot, revision: held.revision, relay: relay})
+	if qherr.Is(err, qherr.Conflict) || qherr.Is(err, qherr.NotFound) {
+		return nil // another node has it
+	}
 	return err
 }
 
