--- /dev/null
+++ b/qhhead/format_test.go
@@ -0,0 +1,38 @@
+package qhhead_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qhgolden"
+	"quetzalhaven.dev/qhhead"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhplatform"
+)
+
+// The objects on the platform outlive every process, so that their format is
+// bound by a golden file.
+var _ = Describe("Format", func() {
+	It("stores versions as the golden file says", func() {
+		ctx := context.Background()
+		memory := qhplatform.NewMemory(qhplatform.MemoryOptions{})
+		chain := qhhead.New(qhhead.Options{Store: memory.Store()})
+		head := qhhead.Head{}
+		for i := range 2 {
+			var err error
+			head, err = chain.Commit(ctx, change(head, qhid.Plan(fmt.Sprintf("p%d", i)), withSlots(sized(2), 0, i+1)))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		objects, err := memory.Store().List(ctx, "")
+		Expect(err).NotTo(HaveOccurred())
+		var seen strings.Builder
+		for _, object := range objects {
+			fmt.Fprintf(&seen, "%s\n%s\n", object.Key, object.Value)
+		}
+		Expect(seen.String()).To(qhgolden.Match("testdata/objects.golden"))
+	})
+})
--- a/qhplatform/http.go
+++ b/qhplatform/http.go
@@ -167,7 +167,7 @@
 	}
 	object, err := decoded[Object](c.call(ctx, request{op: OpWatch, key: key, query: query}))
 	if err == nil && object.Revision <= after {
-		return Object{}, notFound(key)
+		return Object{}, notChanged(key, after)
 	}
 	return object, err
 }
--- a/qhplatform/http_call.go
+++ b/qhplatform/http_call.go
@@ -159,8 +159,8 @@
 
 // refusal is the error of an answer that is not OK.
 func refusal(req request, status int, body []byte) error {
-	if status == http.StatusNotModified {
-		return notFound(req.key)
+	if status == http.StatusNotModified && req.op == OpWatch {
+		return qherr.New(qherr.NotFound, nil, "watch it again", "object %s did not change", req.key)
 	}
 	var told failure
 	if err := json.Unmarshal(body, &told); err == nil && told.known() {
--- a/qhplatform/memory.go
+++ b/qhplatform/memory.go
@@ -164,7 +164,7 @@
 		select {
 		case <-changed:
 		case <-bound.C:
-			return Object{}, notFound(key)
+			return Object{}, notChanged(key, after)
 		case <-ctx.Done():
 			return Object{}, abandoned(ctx, OpWatch, key)
 		}
@@ -220,5 +220,9 @@
 }
 
 func notFound(key Key) error {
-	return qherr.New(qherr.NotFound, nil, "", "the platform has no newer object %s", key)
+	return qherr.New(qherr.NotFound, nil, "check its key", "the platform has no object %s", key)
+}
+
+func notChanged(key Key, after Revision) error {
+	return qherr.New(qherr.NotFound, nil, "watch it again", "object %s did not change after revision %d", key, after)
 }
--- a/qhplatform/memory_write.go
+++ b/qhplatform/memory_write.go
@@ -66,6 +66,18 @@
 	return checkValue(w.key, w.value)
 }
 
+// conflict is the error of a write whose object is at another revision.
+func (w write) conflict(revision Revision) error {
+	switch {
+	case w.at == 0:
+		return qherr.New(qherr.Conflict, nil, "read it again", "object %s exists at revision %d", w.key, revision)
+	case revision == 0:
+		return qherr.New(qherr.Conflict, nil, "read it again", "object %s does not exist", w.key)
+	default:
+		return qherr.New(qherr.Conflict, nil, "read it again", "object %s is at revision %d, not %d", w.key, revision, w.at)
+	}
+}
+
 // apply does the write where its condition holds, and tells whether the answer
 // to it is lost.
 func (m *Memory) apply(w write) (revision Revision, lost bool, err error) {
@@ -74,8 +86,7 @@
 	lost = m.faults.takeLost(w.key)
 	object, _ := m.newest(w.key)
 	if object.Revision != w.at {
-		return 0, lost, qherr.New(qherr.Conflict, nil, "read it again",
-			"object %s is at revision %d, not %d", w.key, object.Revision, w.at)
+		return 0, lost, w.conflict(object.Revision)
 	}
 	m.revision++
 	m.counts.Written += qhid.Bytes(len(w.value))
--- a/qhplatform/store.go
+++ b/qhplatform/store.go
@@ -20,7 +20,7 @@
 // Object is one object as the platform holds it.
 type Object struct {
 	Key      Key      `json:"key"`
-	Value    []byte   `json:"value"`
+	Value    []byte   `json:"value,omitempty"`
 	Revision Revision `json:"revision"`
 }
 
--- a/qhstand/main.go
+++ b/qhstand/main.go
@@ -30,7 +30,7 @@
 		Short:         "Stand-ins for tests and the demo",
 		SilenceErrors: true,
 		SilenceUsage:  true,
-		Args:          cobra.NoArgs,
+		Args:          noArgs,
 		RunE:          func(cmd *cobra.Command, _ []string) error { return cmd.Help() },
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
@@ -39,3 +39,11 @@
 	root.AddCommand(newPlatformCommand(), newTargetCommand())
 	return root
 }
+
+// noArgs refuses arguments, which are commands that do not exist.
+func noArgs(cmd *cobra.Command, args []string) error {
+	if len(args) == 0 {
+		return nil
+	}
+	return qherr.New(qherr.BadInput, nil, "see "+cmd.CommandPath()+" --help", "%s has no command %q", cmd.CommandPath(), args[0])
+}
--- a/qhstand/platform.go
+++ b/qhstand/platform.go
@@ -20,7 +20,7 @@
 		Short: "Serve the platform's object API from memory",
 		Long: "Serves the object API at /v1/objects. PUT /v1/faults switches faults, " +
 			"GET /v1/counts tells the calls so far.",
-		Args: cobra.NoArgs,
+		Args: noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			return qhserve.Run(cmd.Context(), qhserve.Options{
 				Listen:  listen,
--- a/qhstand/target.go
+++ b/qhstand/target.go
@@ -36,7 +36,7 @@
 		Short: "Serve calls as a target that announces itself to a node",
 		Long: "Echoes each call. GET /qhstand/record tells the calls that ran, " +
 			"PUT /qhstand/faults switches faults, PUT /qhstand/drain announces that it leaves.",
-		Args: cobra.NoArgs,
+		Args: noArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error { return flags.run(cmd) },
 	}
 	set := cmd.Flags()
