qhspread: Make three proofs fail on the naive way

A version that all find bad has to be counted by all (fails when a refused version is not passed on). A node that hears nobody is watched for longer than its own silence (fails when any evidence convicts). A watch that ends by its own bound is asked again at once, where it waited up to 5 s before.

--- a/qhspread/member_test.go
+++ b/qhspread/member_test.go
@@ -164,6 +164,7 @@
 		for _, n := range others(nodes, root) {
 			Eventually(func() qhmember.State { return n.states()[root.id] }, patience).Should(Equal(qhmember.Down))
 		}
+		time.Sleep(4 * time.Duration(f.settings.Silence))
 		Expect(root.states()).To(HaveEach(qhmember.Up))
 		f.network.setCut(func(qhid.Node, qhid.Node) bool { return false })
 		expectMembers(nodes)
--- a/qhspread/store_test.go
+++ b/qhspread/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"quetzalhaven.dev/qherr"
 	"quetzalhaven.dev/qhid"
@@ -14,10 +15,29 @@
 	mu     sync.Mutex
 	away   map[qhid.Node]bool
 	paused map[qhid.Node]chan struct{}
+	// old has the object that a watch of its key tells again and again.
+	old map[qhplatform.Key]qhplatform.Object
 }
 
 func newReach() *reach {
-	return &reach{away: make(map[qhid.Node]bool), paused: make(map[qhid.Node]chan struct{})}
+	return &reach{away: make(map[qhid.Node]bool), paused: make(map[qhid.Node]chan struct{}), old: make(map[qhplatform.Key]qhplatform.Object)}
+}
+
+// setOld makes watches tell an object of earlier as news; nil ends it.
+func (r *reach) setOld(key qhplatform.Key, object *qhplatform.Object) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.old, key)
+	if object != nil {
+		r.old[key] = *object
+	}
+}
+
+func (r *reach) oldOf(key qhplatform.Key) (qhplatform.Object, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	object, ok := r.old[key]
+	return object, ok
 }
 
 func (r *reach) setAway(away bool, nodes ...*node) {
@@ -95,6 +115,11 @@
 			if err := r.check(ctx, id); err != nil {
 				return qhplatform.Object{}, err
 			}
+			if object, ok := r.oldOf(key); ok {
+				time.Sleep(10 * time.Millisecond)
+				object.Revision = after + 1
+				return object, nil
+			}
 			object, err := inner.Watch(ctx, key, after)
 			if away := r.check(ctx, id); away != nil {
 				return qhplatform.Object{}, away
--- a/qhspread/version_test.go
+++ b/qhspread/version_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"sync"
 	"time"
 
@@ -10,6 +11,8 @@
 
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhplatform"
+	"quetzalhaven.dev/qhstatus"
+	"quetzalhaven.dev/qhwire"
 )
 
 // track fails the test when a node holds an older version than before. It
@@ -84,32 +87,46 @@
 	})
 
 	It("never goes back when the platform answers with an old head", func() {
+		reach := newReach()
+		f.store = func(id qhid.Node) qhplatform.Store { return reach.store(id, f.platform.Store()) }
 		f.commit()
+		old, err := f.platform.Store().Get(context.Background(), "head")
+		Expect(err).NotTo(HaveOccurred())
 		nodes := f.start("kigali-a", 5)
 		newest := f.commitOver(1, 3)
 		expectVersion(nodes, newest)
 		stop := track(nodes)
 		defer stop()
 		f.platform.SetFaults(qhplatform.Faults{Stale: 8, Prefix: "head"})
+		reach.setOld("head", &old)
 		root := f.root("kigali-a")
 		root.kill()
 		again := f.startNode("kigali-a", root.id, f.seeds("kigali-a")...)
-		rest := others(nodes, root)
-		expectVersion(append(rest, again), newest)
+		rest := append(others(nodes, root), again)
+		expectVersion(rest, newest)
+		Eventually(func() int { return f.slots() }, patience).Should(Equal(1))
+		Consistently(func() map[qhid.Node]qhid.Version { return versions(rest) }, time.Second).Should(HaveEach(newest))
 		f.platform.SetFaults(qhplatform.Faults{})
-		expectVersion(append(rest, again), f.commit())
+		reach.setOld("head", nil)
+		expectVersion(rest, f.commit())
 	})
 
-	It("passes a node that finds it bad", func() {
+	It("that all find bad is known to all, counted and followed by the next", func() {
 		f.commit()
 		nodes := f.start("kigali-a", 7)
 		expectVersion(nodes, 1)
+		expectTree(nodes)
+		whole, err := qhwire.Pack(qhBad())
+		Expect(err).NotTo(HaveOccurred())
+		link, err := stranger().Dial(context.Background(), nodes[6].address)
+		Expect(err).NotTo(HaveOccurred())
+		bad := qhwire.Content{Version: 2, Digest: qhBad().Digest(), Whole: whole}
+		Expect(link.Notify(context.Background(), qhwire.KindContent, bad)).To(Succeed())
 		root := f.root("kigali-a")
-		bad := root.holder
-		_, err := bad.Offer(9, qhBad(), qhBad().Digest())
-		Expect(err).To(HaveOccurred())
-		expectVersion(nodes, f.commit())
-		Eventually(func() int { return root.Summary().Refused }, patience).Should(BeNumerically(">=", 1))
+		Eventually(func() int { return root.Summary().Refused }, patience).Should(Equal(len(nodes)))
+		Expect(root.Summary().Versions).To(Equal([]qhstatus.Count{{Version: 1, Nodes: len(nodes)}}))
+		Expect(root.Summary().Refusals).To(HaveLen(len(nodes)))
+		expectVersion(nodes, f.commitOver(1, 2))
 	})
 })
 
--- a/qhspread/watch.go
+++ b/qhspread/watch.go
@@ -15,7 +15,7 @@
 	firstWatchRetry = 250 * time.Millisecond
 	lastWatchRetry  = 5 * time.Second
 	// watchPeriod bounds one watch, so that a silent one is asked again.
-	watchPeriod = 30 * time.Second
+	watchPeriod = 12 * time.Second
 	// loadTimeout bounds the reading of a whole version.
 	loadTimeout = 20 * time.Second
 )
@@ -29,7 +29,10 @@
 			pause(ctx, firstWatchRetry)
 			continue
 		}
-		head, err := s.watchHead(ctx, seen)
+		head, quiet, err := s.watchHead(ctx, seen)
+		if quiet {
+			continue
+		}
 		if err == nil {
 			seen = head
 			err = s.load(ctx, head)
@@ -44,11 +47,13 @@
 	}
 }
 
-// watchHead returns the head once it differs from the one that was seen.
-func (s *Spreader) watchHead(ctx context.Context, seen qhhead.Head) (qhhead.Head, error) {
+// watchHead returns the head once it differs from the one that was seen, or true
+// where the bound of a watch has passed without news.
+func (s *Spreader) watchHead(ctx context.Context, seen qhhead.Head) (qhhead.Head, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchPeriod)
 	defer cancel()
-	return s.Chain.Watch(ctx, seen)
+	head, err := s.Chain.Watch(ctx, seen)
+	return head, err != nil && ctx.Err() != nil, err
 }
 
 // load takes the version of a head where this node lacks it. An older head than
