qhconn: Spread calls to a node over a few connections

Change: a connection with more than two calls has another one made, up to eight; a call takes the one with the fewest.

--- a/qhconn/peers.go
+++ b/qhconn/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,11 @@
 	connBuffer   = MaxStreams * streamBuffer
 	// idlePeer is how long a connection without calls stays open.
 	idlePeer = 10 * time.Second
+	// busyStreams is how many calls a connection carries before another one is
+	// made, since the calls of one connection wait for each other's frames.
+	busyStreams = 2
+	// maxPeerConns bounds the connections to one node that are made for speed.
+	maxPeerConns = 8
 	// MaxStreams bounds the calls on one connection.
 	MaxStreams = 250
 )
@@ -135,11 +141,12 @@
 }
 
 // reserveOrDial returns a connection with a stream reserved, or the dialing
-// that makes one.
+// that makes one. It also has one more made where the connections are busy.
 func (p *Peers) reserveOrDial(node *peer, address qhid.Address) (*http.ClientConn, *dialing) {
 	node.mu.Lock()
 	defer node.mu.Unlock()
-	if client := node.reserve(time.Now()); client != nil {
+	client := node.reserve(time.Now())
+	if client != nil && (client.InFlight() <= busyStreams || len(node.conns) >= maxPeerConns) {
 		return client, nil
 	}
 	if node.dialing == nil {
@@ -147,7 +154,7 @@
 		node.dialing = d
 		p.group.Go(func(ctx context.Context) { p.dial(ctx, node, address, d) })
 	}
-	return nil, node.dialing
+	return client, node.dialing
 }
 
 // dial makes a connection for all who wait for it.
@@ -165,26 +172,35 @@
 	close(d.done)
 }
 
-// reserve reserves a stream of a live connection, or returns nil. Connections
-// that ended are let go of. The lock is held.
+// reserve reserves a stream of the live connection with the fewest calls, or
+// returns nil. Connections that ended are let go of. The lock is held.
 func (n *peer) reserve(now time.Time) *http.ClientConn {
-	kept := n.conns[:0]
-	var chosen *http.ClientConn
+	n.dropEnded()
+	var best *peerConn
 	for _, c := range n.conns {
-		if c.client.Err() != nil {
+		if c.doubtful(now) || c.client.Available() == 0 {
 			continue
 		}
-		if chosen == nil && !c.doubtful(now) && c.client.Reserve() == nil {
-			chosen = c.client
-		} else if c.client.Available() == 0 && c.client.InFlight() == 0 {
-			_ = c.client.Close()
-			continue
+		if best == nil || c.client.InFlight() < best.client.InFlight() {
+			best = c
 		}
-		kept = append(kept, c)
 	}
-	clear(n.conns[len(kept):])
-	n.conns = kept
-	return chosen
+	if best == nil || best.client.Reserve() != nil {
+		return nil
+	}
+	return best.client
+}
+
+// dropEnded lets go of connections that are closed, or take no new calls and
+// have none left. The lock is held.
+func (n *peer) dropEnded() {
+	n.conns = slices.DeleteFunc(n.conns, func(c *peerConn) bool {
+		if c.client.Err() == nil && (c.client.Available() > 0 || c.client.InFlight() > 0) {
+			return false
+		}
+		_ = c.client.Close() // it has ended already
+		return true
+	})
 }
 
 // doubtful tells whether the connection has had no byte for so long, with calls
