qhsite: Tell an interrupted command from one that failed

Cause: an interrupted demo said that qhctl ended with status -1. Change: a command that ends with its context returns the context's error.

--- a/qhsite/ask.go
+++ b/qhsite/ask.go
@@ -41,6 +41,9 @@
 	cmd.Stdout, cmd.Stderr = &out, &errs
 	cmd.SysProcAttr = attributes()
 	err := cmd.Run()
+	if ctx.Err() != nil {
+		return Result{}, ctx.Err()
+	}
 	result := Result{Out: out.String(), Err: errs.String()}
 	var exit *exec.ExitError
 	if errors.As(err, &exit) {
