qhlease: Tell writes of a relay slot apart by a random token

Cause: a node whose release got no answer, or that was restarted, forgets what it wrote. It then claims the slot as if it were empty, with fence and renewal 1 as the first time, meets a conflict, reads its own old write and takes it for the new one: it holds a lease that it has not renewed, while another node sees it lapse and takes it. Holder, fence and renewal do not tell the two writes apart. Ruled out: an old answer of the platform, since the shortest failing sequence has none.

Change: each write has a random token, and only that settles a lost answer. A release that finds the slot taken has done its work and is no error. A spec shows the sequence; it fails on the code before.

--- a/qhlease/keeper.go
+++ b/qhlease/keeper.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"fmt"
 	"strconv"
@@ -190,14 +191,18 @@
 	if held == nil {
 		return nil
 	}
-	relay := qhstatus.Relay{Fence: held.relay.Fence, Renewal: held.relay.Renewal + 1}
+	relay := qhstatus.Relay{Fence: held.relay.Fence, Renewal: held.relay.Renewal + 1, Token: rand.Text()}
 	_, err := k.write(ctx, &holding{slot: held.slot, revision: held.revision, relay: relay})
+	if qherr.Is(err, qherr.Conflict) {
+		return nil // another node has it
+	}
 	return err
 }
 
 func (k *Keeper) relay(status Status) qhstatus.Relay {
 	return qhstatus.Relay{
 		Holder:    k.Self,
+		Token:     rand.Text(),
 		Peers:     k.Peers,
 		Operators: k.Operators,
 		Members:   status.Members,
@@ -265,15 +270,16 @@
 	return k.Store.Update(ctx, key, value, at)
 }
 
-// settle finds out whether a write is in effect. Fence and renewal are written
-// once each, so an object that has both is the one that was written.
+// settle finds out whether a write is in effect, by its token. Holder, fence and
+// renewal do not tell: a node that forgot an earlier write of its own claims the
+// slot with the same ones, and would take that write for its new one.
 func (k *Keeper) settle(ctx context.Context, key qhplatform.Key, next *holding, cause error) (qhplatform.Revision, error) {
 	object, err := k.Store.Get(ctx, key)
 	if err != nil {
 		return 0, qherr.New(qherr.Unavailable, cause, "wait for the platform", "the outcome of writing %s is not known yet", key)
 	}
 	_, _, relay, err := Parse(object)
-	if err == nil && relay.Holder == next.relay.Holder && relay.Fence == next.relay.Fence && relay.Renewal == next.relay.Renewal {
+	if err == nil && relay.Token == next.relay.Token {
 		return object.Revision, nil
 	}
 	if object.Revision == next.revision {
--- a/qhlease/keeper_test.go
+++ b/qhlease/keeper_test.go
@@ -133,6 +133,18 @@
 		Expect(one.Claim(ctx, qhlease.Status{Members: 7})).To(BeTrue())
 	})
 
+	It("does not take a write that it forgot for its new one", func() {
+		Expect(other.Look(ctx)).To(Succeed())
+		w.platform.SetFaults(qhplatform.Faults{Down: true})
+		Expect(one.Release(ctx)).NotTo(Succeed())
+		w.platform.SetFaults(qhplatform.Faults{})
+		w.now = w.now.Add(lease + time.Millisecond)
+		Expect(other.Look(ctx)).To(Succeed())
+		Expect(one.Claim(ctx, qhlease.Status{})).To(BeFalse())
+		Expect(other.Claim(ctx, qhlease.Status{})).To(BeTrue())
+		Expect(w.check()).To(Succeed())
+	})
+
 	It("takes a slot only after it stood still for the lease", func() {
 		Expect(other.Look(ctx)).To(Succeed())
 		Expect(other.Claim(ctx, qhlease.Status{})).To(BeFalse())
--- a/qhstatus/qhstatus.go
+++ b/qhstatus/qhstatus.go
@@ -39,6 +39,8 @@
 	Fence uint64 `json:"fence"`
 	// Renewal grows with every write; a lease lapses when it stood still.
 	Renewal uint64 `json:"renewal"`
+	// Token is random and tells the write that made the object.
+	Token string `json:"token"`
 	// Peers is where the holder takes messages of other nodes.
 	Peers qhid.Address `json:"peers"`
 	// Operators is where the holder answers operators.
