qhmember: Make a view in one pass and pace the views of a fleet

A merged announcement sorted all entries again and made a view each time; with 19,000 nodes 4.03 ms an announcement (BenchmarkMergeOne/19000), 0.24 ms with 730. Entries are now put in by one pass over the old ones: 1.41 ms and 0.085 ms. A spreader paces its table: a view rests 20 times what the last one took.

--- a/qhmember/table.go
+++ b/qhmember/table.go
@@ -37,8 +37,9 @@
 	// stale has the nodes whose change does not show in the view yet, with
 	// the entry that does; an entry without a node for none.
 	stale map[qhid.Node]Entry
-	// shown is when the view was made.
+	// shown is when the view was made, took how long that took.
 	shown time.Time
+	took  time.Duration
 }
 
 // NewTable returns a table that knows this node only.
--- a/qhmember/view.go
+++ b/qhmember/view.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"quetzalhaven.dev/qhid"
 )
@@ -11,16 +12,37 @@
 // View returns what is known at this moment. It takes no lock.
 func (t *Table) View() *View { return t.view.Load() }
 
-// Refresh shows what was merged since the last view.
+// Pace sets the shortest time between two views, see Options. The caller then
+// calls Refresh now and then.
+func (t *Table) Pace(pause time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.pause = pause
+}
+
+// Refresh shows what was merged since the last view. In a paced table it leaves
+// that to the next call where views would take more than a small part of the time.
 func (t *Table) Refresh() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.show()
+	if t.now().Sub(t.shown) >= t.rest() {
+		t.show()
+	}
+}
+
+// restFactor is how much longer a paced table rests than its last view took.
+const restFactor = 20
+
+func (t *Table) rest() time.Duration {
+	if t.pause == 0 {
+		return 0
+	}
+	return restFactor * t.took
 }
 
 // showSoon makes a view now or leaves it to Refresh.
 func (t *Table) showSoon() {
-	if t.now().Sub(t.shown) >= t.pause {
+	if t.now().Sub(t.shown) >= max(t.pause, t.rest()) {
 		t.show()
 	}
 }
@@ -31,6 +53,7 @@
 	if len(t.stale) == 0 {
 		return
 	}
+	began := t.now()
 	old := t.view.Load()
 	view := &View{Services: maps.Clone(old.Services), Entries: t.list(old.Entries)}
 	for service, nodes := range t.touched() {
@@ -43,6 +66,7 @@
 	}
 	clear(t.stale)
 	t.shown = t.now()
+	t.took = t.shown.Sub(began)
 	t.view.Store(view)
 }
 
@@ -107,19 +131,25 @@
 	return endpoint
 }
 
-// list returns the entries of a view with all that is stale replaced.
+// list returns the entries of a view with all that is stale replaced, in one
+// pass over the old ones.
 func (t *Table) list(old []Entry) []Entry {
+	fresh := make([]Entry, 0, len(t.stale))
+	for node := range t.stale {
+		fresh = append(fresh, t.entries[node])
+	}
+	slices.SortFunc(fresh, byNode)
 	entries := make([]Entry, 0, len(t.entries))
-	for _, entry := range old {
-		if _, ok := t.stale[entry.Node]; !ok {
-			entries = append(entries, entry)
+	for _, entry := range fresh {
+		at, found := slices.BinarySearchFunc(old, entry, byNode)
+		entries = append(entries, old[:at]...)
+		entries = append(entries, entry)
+		if found {
+			at++
 		}
+		old = old[at:]
 	}
-	for node := range t.stale {
-		entries = append(entries, t.entries[node])
-	}
-	slices.SortFunc(entries, byNode)
-	return entries
+	return append(entries, old...)
 }
 
 func byNode(a, b Entry) int { return strings.Compare(string(a.Node), string(b.Node)) }
--- a/qhspread/fleet_test.go
+++ b/qhspread/fleet_test.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
 	"quetzalhaven.dev/qhconfig"
@@ -73,7 +74,11 @@
 		settings: quickSettings(),
 		nodes:    make(map[qhid.Node]*node),
 	}
-	DeferCleanup(f.stop)
+	leaks := goleak.IgnoreCurrent()
+	DeferCleanup(func() {
+		f.stop()
+		Eventually(func() error { return goleak.Find(leaks) }, patience).Should(Succeed())
+	})
 	return f
 }
 
--- a/qhspread/spreader.go
+++ b/qhspread/spreader.go
@@ -132,6 +132,7 @@
 		Metrics:   options.Metrics,
 	})
 	s.transport = transport
+	options.Members.Pace(refreshPeriod)
 	s.start()
 	return s, func() { stopGroup(); stopTransport() }, nil
 }
--- a/qhspread/store_test.go
+++ b/qhspread/store_test.go
@@ -117,7 +117,7 @@
 			}
 			if object, ok := r.oldOf(key); ok {
 				time.Sleep(10 * time.Millisecond)
-				object.Revision = after + 1
+				object.Revision = max(object.Revision, after)
 				return object, nil
 			}
 			object, err := inner.Watch(ctx, key, after)
