--- a/qhbalance/choose.go
+++ b/qhbalance/choose.go
@@ -87,73 +87,83 @@
 // pick is what one choice on one side needs to know.
 type pick struct {
 	balancer *Balancer
-	list     []*qhmember.Endpoint
+	side     *side
 	service  *qhconfig.Service
 	tried    *Tried
 	now      time.Time
-	// panicking ignores ejections and lost nodes.
-	panicking bool
+	// doubting ignores ejections and lost nodes.
+	doubting bool
 }
 
 // Choose returns the endpoint for a call of the service, or false where no
-// endpoint takes work that was not tried before.
+// endpoint takes work that was not tried before. Endpoints that look usable and
+// have room go first, those of the own availability zone before others. Where
+// they are full and most of a side looks unusable, the evidence is doubted.
 func (b *Balancer) Choose(view *qhmember.View, service *qhconfig.Service, tried *Tried, now time.Time) (Choice, bool) {
 	pool := b.pools.of(view, service.Name)
-	near := b.pick(&pool.near, service, tried, now).better()
-	if near.Endpoint != nil && fullness(near.Endpoint, now) < spillPercent {
-		near.explain(qhdecision.OwnZone)
-		return near, true
+	near := pick{balancer: b, side: &pool.near, service: service, tried: tried, now: now}
+	own := near.better(qhdecision.OwnZone)
+	if own.hasRoom(now) {
+		return own, true
+	}
+	far := near
+	far.side = &pool.far
+	other := far.better(qhdecision.OtherZone)
+	if other.hasRoom(now) {
+		if own.Endpoint != nil {
+			other.Reason, other.Other = qhdecision.SpillOver, own.Endpoint
+		}
+		return other, true
 	}
-	far := b.pick(&pool.far, service, tried, now).better()
-	switch {
-	case near.Endpoint == nil:
-		far.explain(qhdecision.OtherZone)
-		return far, far.Endpoint != nil
-	case far.Endpoint == nil || far.Reason == qhdecision.Panic || fullness(far.Endpoint, now) >= spillPercent:
-		near.explain(qhdecision.OwnZone)
-		return near, true
-	default:
-		far.Reason, far.Other = qhdecision.SpillOver, near.Endpoint
-		return far, true
+	if choice := near.doubt(); choice.Endpoint != nil {
+		return choice, true
 	}
+	if own.Endpoint != nil {
+		return own, true
+	}
+	if choice := far.doubt(); choice.Endpoint != nil {
+		return choice, true
+	}
+	return other, other.Endpoint != nil
 }
 
-// pick returns what a choice on one side needs.
-func (b *Balancer) pick(s *side, service *qhconfig.Service, tried *Tried, now time.Time) *pick {
-	return &pick{balancer: b, list: s.list, service: service, tried: tried, now: now, panicking: s.panics(now)}
-}
-
-// explain sets why, unless the evidence was doubted.
-func (c *Choice) explain(why qhdecision.Reason) {
-	if c.Reason != qhdecision.Panic {
-		c.Reason = why
-	}
+// hasRoom tells whether there is an endpoint that is not nearly full.
+func (c *Choice) hasRoom(now time.Time) bool {
+	return c.Endpoint != nil && fullness(c.Endpoint, now) < spillPercent
 }
 
 // better returns the better of two random usable endpoints.
-func (p *pick) better() Choice {
+func (p *pick) better(why qhdecision.Reason) Choice {
 	first := p.sample(nil)
 	if first == nil {
 		return Choice{}
 	}
-	choice := Choice{Endpoint: first, Other: p.sample(first)}
+	choice := Choice{Endpoint: first, Other: p.sample(first), Reason: why}
 	if choice.Other != nil && score(choice.Other, p.now) < score(first, p.now) {
 		choice.Endpoint, choice.Other = choice.Other, first
 	}
-	if p.panicking {
-		choice.Reason = qhdecision.Panic
-	}
 	return choice
 }
 
+// doubt chooses among all endpoints of a side where too few look usable to trust
+// the evidence.
+func (p *pick) doubt() Choice {
+	if !p.side.panics(p.now) {
+		return Choice{}
+	}
+	doubting := *p
+	doubting.doubting = true
+	return doubting.better(qhdecision.Panic)
+}
+
 // sample returns a random usable endpoint other than not, or nil. Endpoints
 // that start are passed over as often as their share says.
 func (p *pick) sample(not *qhmember.Endpoint) *qhmember.Endpoint {
-	if len(p.list) == 0 {
+	if len(p.side.list) == 0 {
 		return nil
 	}
 	for range samples {
-		endpoint := p.list[p.balancer.random(len(p.list))]
+		endpoint := p.side.list[p.balancer.random(len(p.side.list))]
 		if endpoint == not || !p.usable(endpoint) {
 			continue
 		}
@@ -169,10 +179,10 @@
 
 // scan returns the warmest usable endpoint from a random place on, or nil.
 func (p *pick) scan() *qhmember.Endpoint {
-	start := p.balancer.random(len(p.list))
+	start := p.balancer.random(len(p.side.list))
 	var best *qhmember.Endpoint
-	for i := range p.list {
-		endpoint := p.list[(start+i)%len(p.list)]
+	for i := range p.side.list {
+		endpoint := p.side.list[(start+i)%len(p.side.list)]
 		if !p.usable(endpoint) {
 			continue
 		}
@@ -191,7 +201,7 @@
 	if _, retired := slices.BinarySearch(p.service.Retired, endpoint.ID); retired {
 		return false
 	}
-	return p.panicking || (!endpoint.Lost && !ejected(endpoint, p.now))
+	return p.doubting || (!endpoint.Lost && !ejected(endpoint, p.now))
 }
 
 // warmth returns the part of its share that an endpoint gets, in hundredths.
--- a/qhbalance/observe.go
+++ b/qhbalance/observe.go
@@ -30,8 +30,8 @@
 	hintBits = 16
 )
 
-// Succeed notes an answer that took the time.
-func Succeed(endpoint *qhmember.Endpoint, took time.Duration) {
+// Answer notes an answer that took the time.
+func Answer(endpoint *qhmember.Endpoint, took time.Duration) {
 	observed := endpoint.Observed
 	observed.Failures.Store(0)
 	observed.Ejections.Store(0)
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -116,7 +116,7 @@
 	case a.StatusCode >= http.StatusInternalServerError:
 		c.fail(endpoint, "status "+strconv.Itoa(a.StatusCode))
 	default:
-		qhbalance.Succeed(endpoint, took)
+		qhbalance.Answer(endpoint, took)
 	}
 }
 
