--- a/qhbalance/balance_test.go
+++ b/qhbalance/balance_test.go
@@ -84,7 +84,7 @@
 		}
 		e := choice.Endpoint
 		_, retired := slices.BinarySearch(service.Retired, e.ID)
-		if retired || tried.has(e) || !takesWork(e) || choice.Reason != qhdecision.Panic && (e.Lost || ejected(e, epoch)) {
+		if retired || tried.has(e) || !takesWork(e) || choice.Reason != qhdecision.Panicking && (e.Lost || ejected(e, epoch)) {
 			r.Fatalf("chose %+v for %s", e.Target, choice.Reason)
 		}
 	})
--- a/qhbalance/choose.go
+++ b/qhbalance/choose.go
@@ -153,7 +153,7 @@
 	}
 	doubting := *p
 	doubting.doubting = true
-	return doubting.better(qhdecision.Panic)
+	return doubting.better(qhdecision.Panicking)
 }
 
 // sample returns a random usable endpoint other than not, or nil. Endpoints
--- a/qhdecision/decision.go
+++ b/qhdecision/decision.go
@@ -55,7 +55,7 @@
 	OwnZone       Reason = "own-zone"
 	SpillOver     Reason = "spill-over"
 	OtherZone     Reason = "other-zone"
-	Panic         Reason = "panic"
+	Panicking     Reason = "panic"
 	OnlyOne       Reason = "only-one"
 	FailedInARow  Reason = "failed-in-a-row"
 	BrokeOff      Reason = "broke-off"
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -127,13 +127,14 @@
 	control := http.NewResponseController(w)
 	_ = control.SetWriteDeadline(deadline.Add(writeGrace)) // a writer without deadlines is bounded by the call's own
 	if c.in.ContentLength != 0 {
-		_ = control.SetReadDeadline(deadline.Add(writeGrace))
+		_ = control.SetReadDeadline(deadline)
 		c.in.Body = http.MaxBytesReader(w, c.in.Body, bound)
 	}
 	body, err := newRequestBody(c.in)
 	if err != nil {
 		return notRun(qhdecision.BadBody, http.StatusBadRequest, 0, err.Error())
 	}
+	_ = control.SetReadDeadline(deadline.Add(writeGrace)) // the deadline itself ends the call from here on
 	if body.stream != nil && c.in.ProtoMajor == 1 {
 		_ = control.EnableFullDuplex() // the target may answer while the body is still sent
 	}
