qhproxy: Let calls in flight call on through a leaving node

Cause: a target calls others through the node on its VM; a leaving node that refused all callers at once broke the calls that its target had in flight. Also a route's bound above the settings' was cut to the settings' at the second node. Change: a drain closes the gate to the targets of the VM first and the callers' once those calls are done; answers of a leaving node close their connections. Failed first: with both gates closed at once the call in flight was answered with a refusal of the stock service inside. Conclusion: a stop cuts nothing, also where calls call on.

--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -46,6 +46,12 @@
 	start := time.Now()
 	c := &call{proxy: p, in: r, id: requestID(r)}
 	w.Header().Set(qhheader.RequestID, string(c.id))
+	if !p.callers.enter() {
+		w.Header().Set("Connection", "close")
+		p.refuse(w, notRun(qhdecision.Leaving, http.StatusServiceUnavailable, defaultAfter, "this node is leaving; use another one"), c.decision())
+		return
+	}
+	defer p.callers.leave()
 	deadline, f := c.prepare(w)
 	if f != nil {
 		p.refuse(w, f, c.decision())
@@ -82,9 +88,6 @@
 
 // check refuses what no route takes, and drops headers that callers may not set.
 func (c *call) check() *failure {
-	if c.proxy.leaving.Load() {
-		return notRun(qhdecision.Leaving, http.StatusServiceUnavailable, defaultAfter, "this node is leaving; use another one")
-	}
 	if c.in.Method == http.MethodConnect || upgrades(c.in) {
 		return notRun(qhdecision.Upgrade, http.StatusNotImplemented, 0, "the mesh carries no other protocols; send plain HTTP")
 	}
--- a/qhproxy/drain.go
+++ b/qhproxy/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,40 +15,45 @@
 
 // Drained tells how a drain ended.
 type Drained struct {
-	// Cut counts the calls that were in flight at the bound and were ended.
+	// Cut counts the calls that were in flight at the bound and were ended; a
+	// call that came in and went to a target of this VM counts once.
 	Cut int `json:"cut"`
 }
 
-// Drain refuses new calls as not run from now on, and waits until those in
-// flight are done. What is left after the grace period of the settings, or when
-// the context ends, is cut.
+// Drain gives the targets of this VM no new calls from now on. Their calls in
+// flight may call on through this node; once they are done, callers are refused
+// too, as not run. Drain returns when nothing is left in flight. What is left
+// after the grace period of the settings, or when the context ends, is cut.
 func (p *Proxy) Drain(ctx context.Context) Drained {
 	p.decide(qhdecision.Decision{Kind: qhdecision.Drained, Reason: qhdecision.StopRequested, Node: p.Self})
-	p.leaving.Store(true)
-	if p.calls.Load() == 0 {
-		p.idleOnce.Do(func() { close(p.idle) })
-	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(p.Settings.Grace))
 	defer cancel()
-	select {
-	case <-p.idle:
+	if wait(ctx, p.targets.close()) && wait(ctx, p.callers.close()) {
 		return Drained{}
-	case <-ctx.Done():
 	}
 	return p.cutAll()
 }
 
 // cutAll ends the calls in flight and waits shortly for their handlers.
 func (p *Proxy) cutAll() Drained {
-	left := int(p.calls.Load())
+	callers := p.callers.close()
+	left := int(max(p.callers.inside.Load(), p.targets.inside.Load()))
 	p.Log.Warn("calls cut at the end of the grace period", zap.Int("calls", left))
 	p.counts.cut.Add(left)
+	p.decide(qhdecision.Decision{Kind: qhdecision.Cut, Reason: qhdecision.GraceOver, Node: p.Self, Detail: strconv.Itoa(left) + " calls"})
 	p.cut()
-	timer := time.NewTimer(cutWait)
-	defer timer.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), cutWait)
+	defer cancel()
+	_ = wait(ctx, p.targets.empty) && wait(ctx, callers) // the handlers return in time or are left
+	return Drained{Cut: left}
+}
+
+// wait tells whether done was closed before the context ended.
+func wait(ctx context.Context, done <-chan struct{}) bool {
 	select {
-	case <-p.idle:
-	case <-timer.C:
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return Drained{Cut: left}
 }
--- a/qhproxy/leave_test.go
+++ b/qhproxy/leave_test.go
@@ -72,6 +72,29 @@
 		Expect(refusals.Load()).To(BeNumerically(">", 0))
 	})
 
+	It("lets a target's calls in flight call on through its node", func() {
+		f := newFleet(GinkgoTB(), route("urns", "/urns", "booking"), route("stock", "/stock", "stock"))
+		a, b := f.node("a", "kigali-a"), f.node("b", "kigali-a")
+		started, release := make(chan struct{}), make(chan struct{})
+		f.target("s1", "stock", "a", 1, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "oak") })
+		f.target("t1", "booking", "b", 1, func(w http.ResponseWriter, r *http.Request) {
+			close(started)
+			<-release
+			_, _ = io.WriteString(w, "stock: "+do(r.Context(), b, "GET", "/stock", "r2", nil).body)
+		})
+		first := f.later(a, "/urns", "r1")
+		<-started
+		drained := make(chan Drained, 1)
+		var draining sync.WaitGroup
+		draining.Go(func() { drained <- b.proxy.Drain(ctx) })
+		Eventually(b.proxy.targets.closed.Load).WithTimeout(20 * time.Second).Should(BeTrue())
+		close(release)
+		Expect((<-first).body).To(Equal("stock: oak"))
+		draining.Wait()
+		Expect(<-drained).To(Equal(Drained{}))
+		Expect(do(ctx, b, "GET", "/stock", "r3", nil).header.Get(qhheader.Outcome)).To(Equal(qhheader.NotRun))
+	})
+
 	It("gives a leaving target nothing new and lets it finish", func() {
 		f := newFleet(GinkgoTB(), route("urns", "/urns", "booking"))
 		a := f.node("a", "kigali-a")
--- a/qhproxy/nodes.go
+++ b/qhproxy/nodes.go
@@ -8,7 +8,6 @@
 
 	"quetzalhaven.dev/qhdeadline"
 	"quetzalhaven.dev/qhdecision"
-	"quetzalhaven.dev/qhguard"
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhid"
 )
@@ -22,22 +21,15 @@
 		Node:    qhid.Node(r.Header.Get(qhheader.NodeFrom)),
 	}
 	w.Header().Set(qhheader.RequestID, string(d.Request))
-	guard, f := p.guardOf(d.Target)
-	if f != nil {
-		p.refuse(w, f, d)
-		return
-	}
-	left, f := p.timeLeft(r, 0)
+	left, f := p.timeLeft(r, qhdeadline.Max) // within the route's bound already
 	if f != nil {
 		p.refuse(w, f, d)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), left)
 	defer cancel()
-	h := p.nodeHop(r, guard)
-	a, f := p.toTarget(ctx, guard, h)
-	load := guard.Load()
-	w.Header().Set(qhheader.NodeLoad, strconv.Itoa(load.Running+load.Queued))
+	a, f := p.toTarget(ctx, d.Target, p.nodeHop(r))
+	w.Header().Set(qhheader.NodeLoad, strconv.Itoa(p.loadOf(d.Target)))
 	if f != nil {
 		p.refuse(w, f, d)
 		return
@@ -47,7 +39,7 @@
 }
 
 // nodeHop reads what the other node said of the call.
-func (p *Proxy) nodeHop(r *http.Request, guard *qhguard.Guard) *hop {
+func (p *Proxy) nodeHop(r *http.Request) *hop {
 	silence, err := qhdeadline.Parse(r.Header.Get(qhheader.NodeSilence))
 	if err != nil || silence == 0 {
 		silence = time.Duration(p.Settings.Silence)
@@ -58,32 +50,7 @@
 	if r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0 {
 		body.stream = r.Body
 	}
-	return &hop{in: r, body: body, header: r.Header, silence: silence, limits: p.limits(guard)}
-}
-
-// guardOf returns the guard of a target of this VM.
-func (p *Proxy) guardOf(target qhid.Target) (*qhguard.Guard, *failure) {
-	if p.leaving.Load() {
-		return nil, notRun(qhdecision.Leaving, http.StatusServiceUnavailable, defaultAfter, "the target's node is leaving; use another one")
-	}
-	guard := p.Local(target)
-	if guard == nil {
-		return nil, notRun(qhdecision.NoTarget, http.StatusServiceUnavailable, defaultAfter, "the target has left this node; use another one")
-	}
-	return guard, nil
-}
-
-// limits returns what the configuration says of a target's service.
-func (p *Proxy) limits(guard *qhguard.Guard) qhguard.Limits {
-	snapshot := p.Snapshot()
-	if snapshot == nil {
-		return qhguard.Limits{}
-	}
-	service := snapshot.Services[guard.Announcement().Service]
-	if service == nil {
-		return qhguard.Limits{}
-	}
-	return qhguard.Limits{Slots: service.Slots, Queue: service.Queue, Connections: service.Connections}
+	return &hop{in: r, body: body, header: r.Header, silence: silence}
 }
 
 // timeLeft returns the time that a call has: what its header says, within the
--- a/qhproxy/proxy.go
+++ b/qhproxy/proxy.go
@@ -6,8 +6,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -62,13 +60,10 @@
 	// base is the parent of the contexts of all calls. It ends when calls are cut.
 	base context.Context //nolint:containedctx // handed to the servers' BaseContext
 	cut  context.CancelFunc
-	// leaving is set once new calls are refused.
-	leaving atomic.Bool
-	// calls counts the calls that handlers are serving.
-	calls atomic.Int64
-	// idle is closed once the proxy is leaving and no call is left.
-	idle     chan struct{}
-	idleOnce sync.Once
+	// targets is the gate of calls to the targets of this VM.
+	targets *gate
+	// callers is the gate of calls of callers.
+	callers *gate
 }
 
 // New returns a proxy and its clean-up, which cuts what is still in flight and
@@ -89,9 +84,10 @@
 		base:     base,
 		cut:      cut,
 		random:   options.Random,
-		idle:     make(chan struct{}),
+		targets:  newGate(),
+		callers:  newGate(),
 	}
-	options.Metrics.NewGauge("qh_calls_in_flight", func() float64 { return float64(proxy.calls.Load()) })
+	options.Metrics.NewGauge("qh_calls_in_flight", func() float64 { return float64(proxy.callers.inside.Load()) })
 	closeClaims := func() {}
 	if options.Store != nil {
 		proxy.claims, closeClaims = qhclaim.New(qhclaim.Options{
@@ -106,25 +102,10 @@
 }
 
 // Callers returns the handler of the callers' listener.
-func (p *Proxy) Callers() http.Handler { return p.track(p.serveCaller) }
+func (p *Proxy) Callers() http.Handler { return http.HandlerFunc(p.serveCaller) }
 
 // Nodes returns the handler of calls that other nodes send on.
-func (p *Proxy) Nodes() http.Handler { return p.track(p.serveNode) }
-
-// track counts the calls in flight, so that a drain can wait for them.
-func (p *Proxy) track(serve http.HandlerFunc) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		p.calls.Add(1)
-		defer p.untrack()
-		serve(w, r)
-	})
-}
-
-func (p *Proxy) untrack() {
-	if p.calls.Add(-1) == 0 && p.leaving.Load() {
-		p.idleOnce.Do(func() { close(p.idle) })
-	}
-}
+func (p *Proxy) Nodes() http.Handler { return http.HandlerFunc(p.serveNode) }
 
 // decide keeps a decision.
 func (p *Proxy) decide(d qhdecision.Decision) {
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -157,15 +157,9 @@
 	if endpoint.Node != c.proxy.Self {
 		return c.toNode(ctx, endpoint, h)
 	}
-	guard, f := c.proxy.guardOf(endpoint.ID)
-	if f != nil {
-		return nil, f
-	}
 	dropInternal(h.header)
-	h.limits = c.proxy.limits(guard)
-	a, f := c.proxy.toTarget(ctx, guard, h)
-	load := guard.Load()
-	qhbalance.Hint(endpoint, load.Running+load.Queued, time.Now())
+	a, f := c.proxy.toTarget(ctx, endpoint.ID, h)
+	qhbalance.Hint(endpoint, c.proxy.loadOf(endpoint.ID), time.Now())
 	return a, f
 }
 
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -8,6 +8,7 @@
 
 	"quetzalhaven.dev/qhconn"
 	"quetzalhaven.dev/qhdeadline"
+	"quetzalhaven.dev/qhdecision"
 	"quetzalhaven.dev/qhguard"
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhid"
@@ -21,7 +22,6 @@
 	header http.Header
 	// silence bounds the wait for the first byte of the target's answer.
 	silence time.Duration
-	limits  qhguard.Limits
 }
 
 // answer is an answer whose body is still to be read.
@@ -60,10 +60,32 @@
 	return out.WithContext(ctx)
 }
 
-// toTarget sends a call to a target of this VM once it has a slot. The context
-// has a deadline.
-func (p *Proxy) toTarget(ctx context.Context, guard *qhguard.Guard, h *hop) (*answer, *failure) {
-	pass, err := guard.Enter(ctx, h.limits)
+// toTarget sends a call to a target of this VM once it has a slot, unless the
+// node is leaving or the target has gone. The context has a deadline.
+func (p *Proxy) toTarget(ctx context.Context, target qhid.Target, h *hop) (*answer, *failure) {
+	if !p.targets.enter() {
+		return nil, notRun(qhdecision.Leaving, http.StatusServiceUnavailable, defaultAfter, "the target's node is leaving; use another one")
+	}
+	a, f := p.admit(ctx, target, h)
+	if f != nil {
+		p.targets.leave()
+		return nil, f
+	}
+	release := a.release
+	a.release = func() {
+		release()
+		p.targets.leave()
+	}
+	return a, nil
+}
+
+// admit waits for a slot of the target and sends the call.
+func (p *Proxy) admit(ctx context.Context, target qhid.Target, h *hop) (*answer, *failure) {
+	guard := p.Local(target)
+	if guard == nil {
+		return nil, notRun(qhdecision.NoTarget, http.StatusServiceUnavailable, defaultAfter, "the target has left this node; use another one")
+	}
+	pass, err := guard.Enter(ctx, p.limits(guard))
 	if err != nil {
 		return nil, refusedBy(err)
 	}
@@ -85,6 +107,29 @@
 	return &answer{Response: resp, release: release, took: time.Since(start)}, nil
 }
 
+// limits returns what the configuration says of a target's service.
+func (p *Proxy) limits(guard *qhguard.Guard) qhguard.Limits {
+	snapshot := p.Snapshot()
+	if snapshot == nil {
+		return qhguard.Limits{}
+	}
+	service := snapshot.Services[guard.Announcement().Service]
+	if service == nil {
+		return qhguard.Limits{}
+	}
+	return qhguard.Limits{Slots: service.Slots, Queue: service.Queue, Connections: service.Connections}
+}
+
+// loadOf returns the calls that a target of this VM has, 0 where it has gone.
+func (p *Proxy) loadOf(target qhid.Target) int {
+	guard := p.Local(target)
+	if guard == nil {
+		return 0
+	}
+	load := guard.Load()
+	return load.Running + load.Queued
+}
+
 // describe returns the method, host and path of a call for people.
 func describe(in *http.Request) string {
 	shown := url.URL{Path: in.URL.Path}
