--- a/qhbalance/zones_test.go
+++ b/qhbalance/zones_test.go
@@ -59,7 +59,7 @@
 
 	It("tries what is lost where no other availability zone has the service", func() {
 		choice := choose(endpoints("kigali-a", 2, 2))
-		Expect(choice.Reason).To(Equal(qhdecision.Panic))
+		Expect(choice.Reason).To(Equal(qhdecision.Panicking))
 		leaving := endpoints("kigali-b", 1, 0)
 		leaving[0].State = qhmember.Leaving
 		choice = choose(endpoints("kigali-a", 2, 2), leaving)
@@ -69,6 +69,6 @@
 	It("doubts the evidence where most of every availability zone is lost", func() {
 		choice := choose(endpoints("kigali-a", 4, 4), endpoints("kigali-b", 4, 4))
 		Expect(choice.Endpoint.Zone).To(BeEquivalentTo("kigali-a"))
-		Expect(choice.Reason).To(Equal(qhdecision.Panic))
+		Expect(choice.Reason).To(Equal(qhdecision.Panicking))
 	})
 })
