qhsite: Test rolling restarts, a paused node and failures together

Cause: an upgrade of the fleet, a node that goes on after its callers' deadlines and failures that come together were not run as processes. Change: three tests. The paused node's callers were first among the load, which then made no progress, since each waited for its own deadline; the load now goes through the other nodes.

--- a/qhsite/relay_test.go
+++ b/qhsite/relay_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhplatform"
 	"quetzalhaven.dev/qhsite"
 )
 
@@ -110,6 +111,32 @@
 	}, SpecTimeout(hang))
 })
 
+var _ = Describe("Failures that come together", func() {
+	It("leave every node on the newest version once they are over", func(ctx SpecContext) {
+		f := newServingFleet(ctx, func(options *qhsite.Options) { options.Cuttable = true })
+		f.Cut("kigali-c", "kigali-a")
+		f.Cut("kigali-c", "kigali-b")
+		f.Cut("kigali-c", qhsite.PlatformZone)
+		f.change(ctx, "3-shift.jsonc", f.in("kigali-a", "kigali-b"))
+		Expect(f.SetFaults(ctx, qhplatform.Faults{Down: true})).To(Succeed())
+		herd := f.in("kigali-b")
+		kill(herd...)
+		start := time.Now()
+		restart(herd...)
+		// With the platform out and one zone cut off, the rest of the fleet is
+		// the only place that has the newest version.
+		f.waitHeld(ctx, start, herd)
+		f.Heal("kigali-c", "kigali-a")
+		f.waitHeld(ctx, start, f.in("kigali-c"))
+		f.Heal("kigali-c", "kigali-b")
+		f.Heal("kigali-c", qhsite.PlatformZone)
+		Expect(f.SetFaults(ctx, qhplatform.Faults{})).To(Succeed())
+		f.change(ctx, "4-retire.jsonc", f.Nodes)
+		Expect(f.WaitMembers(ctx)).To(Succeed())
+		f.expectAnswers(ctx, "GET", "/slots/today")
+	}, SpecTimeout(hang))
+})
+
 var _ = Describe("Connections that go silent for good", func() {
 	It("are replaced by new ones for calls and for versions", func(ctx SpecContext) {
 		f := newServingFleet(ctx, func(options *qhsite.Options) { options.Cuttable = true })
--- a/qhsite/stop_test.go
+++ b/qhsite/stop_test.go
@@ -37,6 +37,32 @@
 	}, SpecTimeout(hang))
 })
 
+var _ = Describe("An upgrade by rolling restart under load", func() {
+	It("cuts no call in flight on any node", func(ctx SpecContext) {
+		f := newServingFleet(ctx, taking)
+		load := startLoad(ctx, f.Nodes, http.MethodPost, "/certificates", false)
+		load.waitMore(someCalls)
+		for _, node := range f.Nodes {
+			Expect(node.Terminate()).To(Succeed())
+			Eventually(node.Done(), patience).Should(BeClosed())
+			Expect(node.Status()).To(BeZero(), "%s", node.Settings.ID)
+			restart(node)
+			load.waitMore(callers)
+		}
+		Expect(f.WaitMembers(ctx)).To(Succeed())
+		load.waitMore(someCalls)
+		calls := load.end()
+		runs, _ := f.records(ctx)
+		expectWhole(calls)
+		expectOnce(calls, runs)
+		for _, c := range calls {
+			if !c.ok() {
+				Expect(runs[c.id]).To(BeZero(), "it ran and its caller has no answer: %s", c)
+			}
+		}
+	}, SpecTimeout(hang))
+})
+
 var _ = Describe("A target that leaves", func() {
 	// expectNoMore waits until the target gets no work while others do.
 	expectNoMore := func(ctx SpecContext, target *qhsite.Target, load *load) {
@@ -96,6 +122,33 @@
 		expectOnce(calls, runs)
 	}, SpecTimeout(hang))
 
+	It("run at most once while a node is paused past the callers' deadlines and goes on", func(ctx SpecContext) {
+		f := newServingFleet(ctx, taking)
+		paused := f.target("arrangements-2").Node
+		rest := f.others(paused)
+		load := startLoad(ctx, rest, http.MethodPost, "/certificates", false)
+		load.waitMore(someCalls)
+		Expect(paused.Freeze()).To(Succeed())
+		DeferCleanup(paused.Thaw)
+		// Calls that the paused node has taken wait for it; others go elsewhere.
+		load.waitMore(someCalls)
+		Eventually(func(g Gomega) {
+			for _, node := range rest {
+				nodes, _, err := node.Reach(ctx)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(nodes).To(Equal(len(rest)))
+			}
+		}, patience).Should(Succeed())
+		load.waitMore(someCalls)
+		Expect(paused.Thaw()).To(Succeed())
+		Expect(f.WaitMembers(ctx)).To(Succeed())
+		load.waitMore(someCalls)
+		calls := load.end()
+		runs, _ := f.records(ctx)
+		expectWhole(calls)
+		expectOnce(calls, runs)
+	}, SpecTimeout(hang))
+
 	It("run at most once for a key that callers repeat while nodes are killed", func(ctx SpecContext) {
 		f := newServingFleet(ctx, taking)
 		load := startLoad(ctx, f.Nodes, http.MethodPost, "/deposits", true)
