qhspread: Time convergence at the relays, and bound admin requests

Cause: convergence time was known to the demo only, and the queues of targets to the dump only; slow senders could hold the operators' and targets' listeners. Change: a relay times each version from reading it to the last node below it, by its own clock; gauges for running and queued calls of the VM's targets; read and idle bounds on the two admin servers. Ruled out: comparing with the time in the record, since VMs' clocks differ.

--- a/qhnode/qhserve/listen.go
+++ b/qhnode/qhserve/listen.go
@@ -16,6 +16,10 @@
 const (
 	// headerTimeout bounds the headers of a request of an operator or a target.
 	headerTimeout = 5 * time.Second
+	// requestTimeout bounds the whole of such a request.
+	requestTimeout = 10 * time.Second
+	// adminIdle is how long their connections may lie idle.
+	adminIdle = 2 * time.Minute
 	// adminHeaders bounds the size of those headers in bytes.
 	adminHeaders = 16 << 10
 )
@@ -71,7 +75,13 @@
 }
 
 func adminServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: adminHeaders}
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       requestTimeout,
+		IdleTimeout:       adminIdle,
+		MaxHeaderBytes:    adminHeaders,
+	}
 }
 
 // serveOn serves until the server is shut down. One that ends by itself stops
--- a/qhnode/qhserve/node.go
+++ b/qhnode/qhserve/node.go
@@ -156,6 +156,8 @@
 func (n *Node) startProxy(store *qhplatform.Store, stops *cleanups) {
 	guards, closeGuards := qhguard.NewSet()
 	n.guards = guards
+	n.metrics.GetOrCreateGauge("qh_targets_running", func() float64 { return float64(n.load().Running) })
+	n.metrics.GetOrCreateGauge("qh_targets_queued", func() float64 { return float64(n.load().Queued) })
 	stops.add(closeGuards)
 	proxy, stopProxy := qhproxy.New(qhproxy.Options{
 		Self:     n.Settings.ID,
--- a/qhnode/qhserve/targets.go
+++ b/qhnode/qhserve/targets.go
@@ -54,3 +54,15 @@
 	defer n.mu.Unlock()
 	return n.state == qhmember.Leaving
 }
+
+// load adds up the calls that the targets of this VM have.
+func (n *Node) load() qhguard.Load {
+	var sum qhguard.Load
+	for _, guard := range n.guards.List() {
+		load := guard.Load()
+		sum.Running += load.Running
+		sum.Queued += load.Queued
+		sum.Slots += load.Slots
+	}
+	return sum
+}
--- /dev/null
+++ b/qhspread/convergence_test.go
@@ -0,0 +1,29 @@
+package qhspread
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qhstatus"
+)
+
+var _ = Describe("Convergence", func() {
+	It("is timed once, when the last node holds the version", func() {
+		set := metrics.NewSet()
+		c := newConvergence(set)
+		now := time.Unix(1000, 0)
+		c.begin(3, now)
+		c.see(qhstatus.Summary{Versions: []qhstatus.Count{{Version: 2, Nodes: 1}, {Version: 3, Nodes: 6}}}, now.Add(time.Second))
+		whole := qhstatus.Summary{Versions: []qhstatus.Count{{Version: 3, Nodes: 7}}}
+		c.see(whole, now.Add(2*time.Second))
+		c.see(whole, now.Add(5*time.Second))
+		var text bytes.Buffer
+		set.WritePrometheus(&text)
+		Expect(text.String()).To(ContainSubstring("qh_spread_convergence_seconds_sum 2\n"))
+		Expect(text.String()).To(ContainSubstring("qh_spread_convergence_seconds_count 1\n"))
+	})
+})
--- a/qhspread/spreader.go
+++ b/qhspread/spreader.go
@@ -72,6 +72,7 @@
 	counts    *counts
 	relays    *relays
 	suspects  *suspects
+	converged *convergence
 	// ready is closed once, at the end of the start.
 	ready chan struct{}
 	// turn has an item when parent or lease may have changed.
@@ -107,6 +108,7 @@
 		admit:     rate.NewLimiter(admitRate, admitBurst),
 		relays:    newRelays(),
 		suspects:  newSuspects(),
+		converged: newConvergence(options.Metrics),
 		ready:     make(chan struct{}),
 		turn:      make(chan struct{}, 1),
 		neighbors: make(map[*neighbor]struct{}),
--- a/qhspread/summary.go
+++ b/qhspread/summary.go
@@ -83,4 +83,7 @@
 	if n := s.find(link); n != nil && n.role == roleChild {
 		n.setSummary(summary)
 	}
+	if s.isRoot() {
+		s.converged.see(s.Summary(), time.Now())
+	}
 }
--- a/qhspread/watch.go
+++ b/qhspread/watch.go
@@ -71,6 +71,7 @@
 	}
 	newer, err := s.content.takeWhole(head.Version, record.Config, config)
 	if newer {
+		s.converged.begin(head.Version, time.Now())
 		s.pokeAll()
 	}
 	return err
