qhspread: Read the head on a node that finds no place

With the only slot held on the other side of a cut through an availability zone, the half that still reached the platform stayed at its version: the test of a zone cut in two failed after 30 s with four of eight nodes at version 1. Nodes without parent and slot now read the head with each attempt to attach. Ruled out: a watch by such nodes, which would hold a call each while a herd is homeless. Adds the recovery of zones: all relays killed while the platform is out, several relays, three quarters of the nodes dead at once.

--- a/qhspread/attach.go
+++ b/qhspread/attach.go
@@ -41,7 +41,8 @@
 	return needs && !s.keeper.Kept()
 }
 
-// attach tries the nodes that it knows, then the platform.
+// attach tries the nodes that it knows, then the platform. A node that finds no
+// place, as when it is cut off from all relays, at least reads the head.
 func (s *Spreader) attach(ctx context.Context) bool {
 	if s.joinAny(ctx, s.parents()) || s.claim(ctx) {
 		return true
@@ -51,7 +52,11 @@
 		relays = append(relays, relay.Peers)
 	}
 	shuffle(relays)
-	return s.joinAny(ctx, s.relays.unique(relays, s.Self.Peers))
+	if s.joinAny(ctx, s.relays.unique(relays, s.Self.Peers)) {
+		return true
+	}
+	s.readHead(ctx)
+	return false
 }
 
 func (s *Spreader) joinAny(ctx context.Context, addresses []qhid.Address) bool {
--- a/qhspread/bench_test.go
+++ b/qhspread/bench_test.go
@@ -131,7 +131,9 @@
 }
 
 // benchFleet returns a fleet with default settings in three availability zones.
-func benchFleet(size int) *fleet {
+func benchFleet(size int) *fleet { return benchFleetOf(size, 3) }
+
+func benchFleetOf(size, zones int) *fleet {
 	memory := qhplatform.NewMemory(qhplatform.MemoryOptions{})
 	f := &fleet{
 		platform: memory,
@@ -141,7 +143,7 @@
 		nodes:    make(map[qhid.Node]*node),
 	}
 	for i := range size {
-		zone := qhid.Zone(fmt.Sprintf("zone-%c", 'a'+i%3))
+		zone := qhid.Zone(fmt.Sprintf("zone-%02d", i%zones))
 		id := qhid.Node(fmt.Sprintf("%s-%03d", zone, i))
 		n := f.startNode(zone, id, f.seeds(zone)...)
 		n.Announce(qhmember.Up, []qhmember.Target{{ID: qhid.Target(id) + "-booking", Service: "booking", State: qhmember.Up, Slots: 9}})
@@ -267,3 +269,81 @@
 	end.Transport, end.address = transport, qhid.Address(listener.Addr().String())
 	return end, stop
 }
+
+// BenchmarkNews measures what membership costs and how long it takes with the
+// default settings in 26 availability zones.
+func BenchmarkNews(b *testing.B) {
+	RegisterTestingT(b)
+	f := benchFleetOf(104, 26)
+	defer f.stop()
+	nodes := f.all()
+	for _, n := range nodes {
+		Eventually(func() int { return len(n.members.View().Entries) }, 3*patience).Should(Equal(len(nodes)))
+	}
+	time.Sleep(idleTime)
+	sums := func() []float64 {
+		var list []float64
+		for _, n := range nodes {
+			list = append(list, out(n.metrics))
+		}
+		return list
+	}
+	before := sums()
+	time.Sleep(idleTime)
+	idle := spread(before, sums())
+	before = sums()
+	began := time.Now()
+	var times []time.Duration
+	for i := range b.N {
+		n := nodes[(7*i)%len(nodes)]
+		id := qhid.Target(fmt.Sprintf("extra-%d", i))
+		n.Announce(qhmember.Up, target(id, qhmember.Leaving))
+		times = append(times, until(nodes, func(n *node) bool { return n.booking(id) != nil })...)
+	}
+	took := time.Since(began).Seconds()
+	cost := spread(before, sums())
+	report(b, times, cost.most-idle.most*took/idleTime.Seconds(), (cost.mean-idle.mean*took/idleTime.Seconds())*float64(len(nodes)), len(nodes))
+	b.ReportMetric(idle.most/idleTime.Seconds(), "idle-busiest-B/s")
+	b.ReportMetric(idle.mean/idleTime.Seconds(), "idle-mean-B/s")
+	var deaths []time.Duration
+	for _, victim := range []*node{nodes[3], nodes[50], nodes[77]} {
+		rest := others(f.all(), victim)
+		victim.kill()
+		deaths = append(deaths, until(rest, func(n *node) bool { return n.states()[victim.id] == qhmember.Down })...)
+	}
+	b.ReportMetric(slices.Max(deaths).Seconds(), "dead-worst-s")
+	silent := nodes[20]
+	rest := others(f.all(), silent)
+	f.network.setCut(func(a, _ qhid.Node) bool { return a == silent.id })
+	deaths = until(rest, func(n *node) bool { return n.states()[silent.id] == qhmember.Down })
+	b.ReportMetric(slices.Max(deaths).Seconds(), "silent-worst-s")
+}
+
+// cost is what nodes sent between two counts.
+type cost struct{ most, mean float64 }
+
+func spread(before, after []float64) cost {
+	var c cost
+	for i := range before {
+		c.most = max(c.most, after[i]-before[i])
+		c.mean += (after[i] - before[i]) / float64(len(before))
+	}
+	return c
+}
+
+// until returns how long it took until each node saw something.
+func until(nodes []*node, seen func(*node) bool) []time.Duration {
+	began := time.Now()
+	times := make([]time.Duration, len(nodes))
+	var group sync.WaitGroup
+	for i, n := range nodes {
+		group.Go(func() {
+			for !seen(n) && time.Since(began) < patience {
+				time.Sleep(time.Millisecond)
+			}
+			times[i] = time.Since(began)
+		})
+	}
+	group.Wait()
+	return times
+}
--- /dev/null
+++ b/qhspread/recovery_test.go
@@ -0,0 +1,111 @@
+package qhspread_test
+
+import (
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
+	"quetzalhaven.dev/qhplatform"
+)
+
+// expectNews announces a target and waits until all nodes know it.
+func expectNews(nodes []*node, from *node, id qhid.Target) {
+	GinkgoHelper()
+	from.Announce(qhmember.Up, target(id, qhmember.Up))
+	expectBooking(nodes, id, func(e *qhmember.Endpoint) bool { return e.State == qhmember.Up })
+}
+
+// killAll kills nodes at the same time.
+func killAll(nodes []*node) {
+	var group sync.WaitGroup
+	for _, n := range nodes {
+		group.Go(n.kill)
+	}
+	group.Wait()
+}
+
+// expectOneRoot waits until all nodes have a path from the same root.
+func expectOneRoot(nodes []*node) {
+	GinkgoHelper()
+	Eventually(func() map[qhid.Node]bool {
+		roots := make(map[qhid.Node]bool)
+		for _, n := range nodes {
+			roots[n.State().Path[0]] = true
+		}
+		return roots
+	}, patience).Should(HaveLen(1))
+}
+
+var _ = Describe("An availability zone", func() {
+	var f *fleet
+	BeforeEach(func() {
+		f = newFleet()
+		f.commit()
+	})
+
+	It("goes on when its relays are killed while the platform is out", func() {
+		nodes := append(f.start("kigali-a", 8), f.start("kigali-b", 2)...)
+		expectVersion(nodes, 1)
+		expectMembers(nodes)
+		f.platform.SetFaults(qhplatform.Faults{Down: true})
+		root := f.root("kigali-a")
+		root.kill()
+		rest := others(nodes, root)
+		expectOneRoot(rest[:7])
+		expectNews(rest, rest[0], "booking-1")
+		expectNews(rest, rest[8], "booking-2")
+		f.platform.SetFaults(qhplatform.Faults{})
+		expectVersion(rest, f.commit())
+		Eventually(f.slots, patience).Should(Equal(2))
+	})
+
+	It("has several relays", func() {
+		f.settings.Relays = 2
+		nodes := append(f.start("kigali-a", 8), f.start("kigali-b", 4)...)
+		expectVersion(nodes, 1)
+		Eventually(f.slots, patience).Should(Equal(4))
+		expectVersion(nodes, f.commit())
+		expectNews(nodes, nodes[0], "booking-1")
+		expectNews(nodes, nodes[7], "booking-2")
+		expectNews(nodes, nodes[11], "booking-3")
+	})
+
+	It("comes back after most of its nodes died at once", func() {
+		nodes := f.start("kigali-a", 16)
+		expectVersion(nodes, 1)
+		expectMembers(nodes)
+		herd := nodes[:12]
+		killAll(herd)
+		newest := f.commit()
+		expectVersion(nodes[12:], newest)
+		var again []*node
+		for _, n := range herd {
+			again = append(again, f.startNode(n.zone, n.id, nodes[15].address))
+		}
+		all := append(again, nodes[12:]...)
+		expectVersion(all, newest)
+		expectMembers(all)
+		expectTree(all)
+	})
+
+	It("heals after it was cut in two", func() {
+		nodes := f.start("kigali-a", 8)
+		expectVersion(nodes, 1)
+		expectMembers(nodes)
+		root := f.root("kigali-a")
+		half := map[qhid.Node]bool{root.id: true}
+		for _, n := range others(nodes, root)[:3] {
+			half[n.id] = true
+		}
+		f.network.setCut(func(a, b qhid.Node) bool { return half[a] != half[b] })
+		newest := f.commit()
+		expectVersion(nodes, newest)
+		f.network.setCut(func(qhid.Node, qhid.Node) bool { return false })
+		expectMembers(nodes)
+		expectTree(nodes)
+		expectVersion(nodes, f.commit())
+	})
+})
--- a/qhspread/watch.go
+++ b/qhspread/watch.go
@@ -56,6 +56,18 @@
 	return head, err != nil && ctx.Err() != nil, err
 }
 
+// readHead takes the version of the head once.
+func (s *Spreader) readHead(ctx context.Context) {
+	asked, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	head, err := s.Chain.Read(asked)
+	if err != nil {
+		return // the next attempt asks again
+	}
+	s.platform.note()
+	_ = s.load(ctx, head) // logged there
+}
+
 // load takes the version of a head where this node lacks it. An older head than
 // what this node has changes nothing.
 func (s *Spreader) load(ctx context.Context, head qhhead.Head) error {
