--- a/qhsite/load_test.go
+++ b/qhsite/load_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -40,6 +41,13 @@
 		c.answer.Header.Get(qhheader.Outcome), c.answer.Header.Get(qhheader.Reason), c.err, c.answer.Body)
 }
 
+// The traffic of the tests.
+var (
+	certificates = traffic{method: http.MethodPost, path: "/certificates"}
+	deposits     = traffic{method: http.MethodPost, path: "/deposits", keys: true}
+	lookups      = traffic{method: http.MethodGet, path: "/slots/today"}
+)
+
 // load sends calls until it is stopped.
 type load struct {
 	mu    sync.Mutex
@@ -49,9 +57,18 @@
 	stop func()
 }
 
-// startLoad sends calls through the nodes in turn. With keys, every key is sent
-// twice, as by a caller that repeats what it had no answer for.
-func startLoad(ctx context.Context, nodes []*qhsite.Node, method, path string, keys bool) *load {
+// traffic is what the callers of a load send.
+type traffic struct {
+	method, path string
+	// keys sends every key twice, as a caller does that repeats what it had no
+	// answer for.
+	keys bool
+	// deadline is when a caller gives a call up; 0 leaves that to the site.
+	deadline time.Duration
+}
+
+// startLoad sends calls through the nodes in turn.
+func startLoad(ctx context.Context, nodes []*qhsite.Node, traffic traffic) *load {
 	group, stop := qhgroup.New(ctx)
 	l := &load{stop: stop}
 	DeferCleanup(stop)
@@ -62,12 +79,11 @@
 				c := call{id: qhid.Request(fmt.Sprintf("caller-%d-call-%d", caller, i)), node: node.Settings.ID}
 				header := http.Header{}
 				header.Set(qhheader.RequestID, string(c.id))
-				if keys {
+				if traffic.keys {
 					c.key = fmt.Sprintf("caller-%d-key-%d", caller, i/2)
 					header.Set(qhheader.IdempotencyKey, c.key)
 				}
-				// A call that was begun ends, also when the load is stopped.
-				c.answer, c.err = node.Call(context.WithoutCancel(ctx), method, path, header, string(c.id))
+				c.answer, c.err = traffic.call(ctx, node, header, string(c.id))
 				l.add(c)
 			}
 		})
@@ -75,6 +91,17 @@
 	return l
 }
 
+// call sends one call. One that was begun ends, also when the load is stopped.
+func (t traffic) call(ctx context.Context, node *qhsite.Node, header http.Header, body string) (qhsite.Answer, error) {
+	ctx = context.WithoutCancel(ctx)
+	if t.deadline > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, t.deadline)
+		defer cancel()
+	}
+	return node.Call(ctx, t.method, t.path, header, body)
+}
+
 func (l *load) add(c call) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/qhsite/stop_test.go
+++ b/qhsite/stop_test.go
@@ -1,8 +1,6 @@
 package qhsite_test
 
 import (
-	"net/http"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -19,7 +17,7 @@
 	It("cuts no call in flight: what ran was answered whole", func(ctx SpecContext) {
 		f := newServingFleet(ctx, taking)
 		leaving := f.target("arrangements-1").Node
-		load := startLoad(ctx, f.Nodes, http.MethodPost, "/certificates", false)
+		load := startLoad(ctx, f.Nodes, certificates)
 		load.waitMore(someCalls)
 		Expect(leaving.Terminate()).To(Succeed())
 		Eventually(leaving.Done(), patience).Should(BeClosed())
@@ -40,7 +38,7 @@
 var _ = Describe("An upgrade by rolling restart under load", func() {
 	It("cuts no call in flight on any node", func(ctx SpecContext) {
 		f := newServingFleet(ctx, taking)
-		load := startLoad(ctx, f.Nodes, http.MethodPost, "/certificates", false)
+		load := startLoad(ctx, f.Nodes, certificates)
 		load.waitMore(someCalls)
 		for _, node := range f.Nodes {
 			Expect(node.Terminate()).To(Succeed())
@@ -79,7 +77,7 @@
 
 	It("gets no new work once it drains, and its calls end", func(ctx SpecContext) {
 		f := newServingFleet(ctx, taking)
-		load := startLoad(ctx, f.Nodes, http.MethodPost, "/certificates", false)
+		load := startLoad(ctx, f.Nodes, certificates)
 		load.waitMore(someCalls)
 		leaving := f.target("arrangements-2")
 		Expect(leaving.Drain(ctx)).To(Succeed())
@@ -92,7 +90,7 @@
 
 	It("gets no new work once an operator retires it", func(ctx SpecContext) {
 		f := newServingFleet(ctx, taking)
-		load := startLoad(ctx, f.Nodes, http.MethodGet, "/slots/today", false)
+		load := startLoad(ctx, f.Nodes, lookups)
 		load.waitMore(someCalls)
 		f.change(ctx, "3-shift.jsonc", f.Nodes)
 		f.change(ctx, "4-retire.jsonc", f.Nodes)
@@ -104,7 +102,7 @@
 var _ = Describe("Calls that may not be repeated", func() {
 	It("run at most once while nodes are killed and come back", func(ctx SpecContext) {
 		f := newServingFleet(ctx, taking)
-		load := startLoad(ctx, f.Nodes, http.MethodPost, "/certificates", false)
+		load := startLoad(ctx, f.Nodes, certificates)
 		for _, victim := range []string{"arrangements-1", "arrangements-2", "arrangements-3"} {
 			load.waitMore(someCalls)
 			for _, target := range f.Targets {
@@ -126,7 +124,7 @@
 		f := newServingFleet(ctx, taking)
 		paused := f.target("arrangements-2").Node
 		rest := f.others(paused)
-		load := startLoad(ctx, rest, http.MethodPost, "/certificates", false)
+		load := startLoad(ctx, rest, certificates)
 		load.waitMore(someCalls)
 		Expect(paused.Freeze()).To(Succeed())
 		DeferCleanup(paused.Thaw)
@@ -151,7 +149,7 @@
 
 	It("run at most once for a key that callers repeat while nodes are killed", func(ctx SpecContext) {
 		f := newServingFleet(ctx, taking)
-		load := startLoad(ctx, f.Nodes, http.MethodPost, "/deposits", true)
+		load := startLoad(ctx, f.Nodes, deposits)
 		victim := f.target("arrangements-1").Node
 		for range 2 {
 			load.waitMore(someCalls)
