qhplan: Name explanations and states as a newcomer expects

Read as someone new to the tree: Story, Fate and Rival did not say what they hold, and qhplan.Add or qhplan.Refused did not say whether they are actions or states. They are VersionExplanation, PlanExplanation, ConcurrentPlan, ActionAdd and StateRefused now; a rollout that can go no further is Stalled. JSON follows: "rivals" is "concurrent". The golden file of the check of a configuration is compared by qhgolden like all others. Ruled out: one explanation type for both questions, of which each would fill half. No behaviour changes; the golden files differ by that one key.

--- a/qhconfig/check_test.go
+++ b/qhconfig/check_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"os"
-	"path/filepath"
 	"reflect"
 	"strings"
 
@@ -12,6 +10,7 @@
 
 	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhgolden"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhsample"
 )
@@ -66,7 +65,7 @@
 			Expect(qherr.KindOf(err)).To(Equal(qherr.Refused), c.name)
 			golden.WriteString(c.name + ": " + err.Error() + "\n")
 		}
-		expectGolden("check.golden", golden.String())
+		Expect(golden.String()).To(qhgolden.Match("testdata/check.golden"))
 	})
 })
 
@@ -118,17 +117,3 @@
 		Expect(qhconfig.Decode[qhconfig.Config](data)).To(Equal(config))
 	})
 })
-
-// expectGolden compares text with a file of testdata, and writes the file
-// where QH_GOLDEN is set.
-func expectGolden(name, text string) {
-	GinkgoHelper()
-	path := filepath.Join("testdata", name)
-	if os.Getenv("QH_GOLDEN") != "" {
-		Expect(os.MkdirAll("testdata", 0o755)).To(Succeed())
-		Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
-	}
-	want, err := os.ReadFile(path)
-	Expect(err).NotTo(HaveOccurred())
-	Expect(text).To(Equal(string(want)))
-}
--- a/qhctl/qhcommand/explain.go
+++ b/qhctl/qhcommand/explain.go
@@ -83,11 +83,11 @@
 		return s.explainVersion(command, text)
 	case aPlan:
 		return withPlanner(s, command, func(ctx context.Context, planner *qhplan.Planner) error {
-			fate, err := planner.ExplainPlan(ctx, qhid.Plan(text))
+			explanation, err := planner.ExplainPlan(ctx, qhid.Plan(text))
 			if err != nil {
 				return err
 			}
-			return show(s, command, fate, (*qhtext.Writer).Fate)
+			return show(s, command, explanation, (*qhtext.Writer).PlanExplanation)
 		})
 	case aNode:
 		return withNode(s, command, qhid.Address(text), func(ctx context.Context, node *qhask.Node) error {
@@ -108,11 +108,11 @@
 		return err
 	}
 	return withPlanner(s, command, func(ctx context.Context, planner *qhplan.Planner) error {
-		story, err := planner.ExplainVersion(ctx, version)
+		explanation, err := planner.ExplainVersion(ctx, version)
 		if err != nil {
 			return err
 		}
-		return show(s, command, story, (*qhtext.Writer).Story)
+		return show(s, command, explanation, (*qhtext.Writer).VersionExplanation)
 	})
 }
 
--- a/qhctl/qhcommand/qhcommand_test.go
+++ b/qhctl/qhcommand/qhcommand_test.go
@@ -29,9 +29,9 @@
 	"quetzalhaven.dev/qhstatus"
 )
 
-// desk is where an operator sits: a platform, a node, and what was typed and
+// terminal is where an operator types: a platform, a node, and what was typed and
 // printed so far.
-type desk struct {
+type terminal struct {
 	memory     *qhplatform.Memory
 	platform   string
 	node       string
@@ -42,9 +42,9 @@
 	plans []string
 }
 
-func newDesk() *desk {
+func newTerminal() *terminal {
 	memory := qhplatform.NewMemory(qhplatform.MemoryOptions{})
-	d := &desk{memory: memory}
+	d := &terminal{memory: memory}
 	platform := httptest.NewServer(d.cutting(qhplatform.NewHandler(memory)))
 	DeferCleanup(platform.Close)
 	node := httptest.NewServer(kigali().Handler())
@@ -56,7 +56,7 @@
 
 // cutting serves the platform and, where cut is set, goes down right after the
 // next write of the head and before its answer.
-func (d *desk) cutting(platform http.Handler) http.Handler {
+func (d *terminal) cutting(platform http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !d.cut.Load() || r.Method != http.MethodPut || !strings.HasSuffix(r.URL.Path, "/head") {
 			platform.ServeHTTP(w, r)
@@ -103,7 +103,7 @@
 
 // run types a command and notes it with all that it printed. $1 stands for the
 // id of the first plan.
-func (d *desk) run(ctx context.Context, line string) qherr.Status {
+func (d *terminal) run(ctx context.Context, line string) qherr.Status {
 	GinkgoHelper()
 	typed := line
 	for i, plan := range d.plans {
@@ -130,13 +130,13 @@
 }
 
 // file writes a file of the directory that the test runs in.
-func (d *desk) file(name, text string) {
+func (d *terminal) file(name, text string) {
 	GinkgoHelper()
 	Expect(os.WriteFile(filepath.Join(name), []byte(text), 0o600)).To(Succeed())
 }
 
 // settled returns the transcript without what differs from run to run.
-func (d *desk) settled() string {
+func (d *terminal) settled() string {
 	text := strings.NewReplacer(d.platform, "http://PLATFORM", strings.TrimPrefix(d.platform, "http://"), "PLATFORM", d.node, "NODE").Replace(d.transcript.String())
 	for i, plan := range d.plans {
 		text = strings.ReplaceAll(text, plan, fmt.Sprintf("%s-PLAN%d", strings.Split(plan, "-")[0], i+1))
@@ -161,7 +161,7 @@
 )
 
 var _ = Describe("Commands", func() {
-	var d *desk
+	var d *terminal
 
 	// golden is the file of testdata with the name, as seen from any directory.
 	golden := func(name string) string {
@@ -170,7 +170,7 @@
 	}
 
 	BeforeEach(func() {
-		d = newDesk()
+		d = newTerminal()
 		here, err := os.Getwd()
 		Expect(err).NotTo(HaveOccurred())
 		Expect(os.Chdir(GinkgoT().TempDir())).To(Succeed())
--- a/qhctl/qhcommand/status.go
+++ b/qhctl/qhcommand/status.go
@@ -81,7 +81,7 @@
 	if wait {
 		return watcher.Wait(ctx, lookPeriod)
 	}
-	return watcher.Judge(ctx, lookPeriod)
+	return watcher.Collect(ctx, lookPeriod)
 }
 
 // head reads the head; it asks again until ctx ends where the command waits.
@@ -111,7 +111,7 @@
 		return nil
 	case report.Nodes == 0:
 		return qherr.New(qherr.Unavailable, nil, "check that nodes run and reach the platform", "%s", qhtext.Headline(report))
-	case report.Stuck():
+	case report.Stalled():
 		return qherr.New(qherr.Refused, nil, "look at the node with qhctl explain NODE-ADDRESS, and go back with qhctl back", "%s", qhtext.Headline(report))
 	default:
 		return qherr.New(qherr.Unavailable, nil, "wait longer with --timeout, or look at the nodes of these availability zones with qhctl members",
--- a/qhctl/qhrollout/qhrollout.go
+++ b/qhctl/qhrollout/qhrollout.go
@@ -51,8 +51,8 @@
 	return slices.ContainsFunc(r.Zones, func(zone Zone) bool { return zone.Pending })
 }
 
-// Stuck tells whether every node that lacks the version refuses one.
-func (r Report) Stuck() bool {
+// Stalled tells whether every node that lacks the version refuses one.
+func (r Report) Stalled() bool {
 	return !r.Pending() && r.Refused > 0 && r.InForce+r.Refused >= r.Nodes
 }
 
--- a/qhctl/qhrollout/watcher.go
+++ b/qhctl/qhrollout/watcher.go
@@ -83,8 +83,8 @@
 	return observed{relay: relay, since: now, fresh: !first}
 }
 
-// Judge looks until every relay has renewed or has been silent for too long.
-func (w *Watcher) Judge(ctx context.Context, period time.Duration) (Report, error) {
+// Collect looks until every relay has renewed or has been silent for too long.
+func (w *Watcher) Collect(ctx context.Context, period time.Duration) (Report, error) {
 	for {
 		report, err := w.Look(ctx)
 		if err != nil || !report.Pending() || !sleep(ctx, period) {
@@ -106,7 +106,7 @@
 		} else if !looked {
 			failed = err
 		}
-		if last.Complete() || last.Stuck() || !sleep(ctx, period) {
+		if last.Complete() || last.Stalled() || !sleep(ctx, period) {
 			return last, failed
 		}
 	}
--- a/qhctl/qhrollout/watcher_test.go
+++ b/qhctl/qhrollout/watcher_test.go
@@ -114,7 +114,7 @@
 		f.renew(ctx, "kigali-a", 0, relay("a-1", 3))
 		f.look(ctx)
 		f.renew(ctx, "kigali-a", 0, relay("a-1", 4, on(0, 1), on(11, 1), on(13, 1)))
-		Expect(f.look(ctx)).To(And(HaveField("Nodes", 4), HaveField("InForce", 1), HaveField("Stuck()", false)))
+		Expect(f.look(ctx)).To(And(HaveField("Nodes", 4), HaveField("InForce", 1), HaveField("Stalled()", false)))
 	})
 
 	It("leaves free slots out", func(ctx SpecContext) {
@@ -131,7 +131,7 @@
 		f.renew(ctx, "kigali-a", 0, told)
 		report, err := f.Wait(ctx, time.Millisecond)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(report.Stuck()).To(BeTrue())
+		Expect(report.Stalled()).To(BeTrue())
 	})
 
 	It("waits through an outage of the platform, and tells of one that lasts", func(ctx SpecContext) {
@@ -140,7 +140,7 @@
 		defer cancel()
 		_, err := f.Wait(short, time.Millisecond)
 		Expect(err).To(MatchError(ContainSubstring("the platform is down")))
-		_, err = f.Judge(ctx, time.Millisecond)
+		_, err = f.Collect(ctx, time.Millisecond)
 		Expect(err).To(MatchError(ContainSubstring("the platform is down")))
 	})
 })
--- a/qhctl/qhtext/plan.go
+++ b/qhctl/qhtext/plan.go
@@ -78,51 +78,51 @@
 	w.Line("see how far it is in force with: qhctl status --wait")
 }
 
-// Story writes how a version came to be.
-func (w *Writer) Story(story qhplan.Story) {
-	w.Field("version", fmt.Sprint(story.Version))
-	w.Field("plan", string(story.Record.Plan))
-	if story.Plan != nil && story.Plan.Author != story.Record.Author {
-		w.Field("planned", "by "+story.Plan.Author)
+// VersionExplanation writes how a version came to be.
+func (w *Writer) VersionExplanation(explanation qhplan.VersionExplanation) {
+	w.Field("version", fmt.Sprint(explanation.Version))
+	w.Field("plan", string(explanation.Record.Plan))
+	if explanation.Plan != nil && explanation.Plan.Author != explanation.Record.Author {
+		w.Field("planned", "by "+explanation.Plan.Author)
 	}
-	w.Field("author", story.Record.Author)
-	w.Field("time", stamp(story.Record.Time))
-	w.Field("reason", story.Record.Reason)
-	w.Field("digest", string(story.Record.Config))
-	w.lines(story.Lines)
-	if story.Plan == nil {
+	w.Field("author", explanation.Record.Author)
+	w.Field("time", stamp(explanation.Record.Time))
+	w.Field("reason", explanation.Record.Reason)
+	w.Field("digest", string(explanation.Record.Config))
+	w.lines(explanation.Lines)
+	if explanation.Plan == nil {
 		w.Field("note", "the plan is not kept any more, so that the reason of each line is not known")
 		return
 	}
-	if len(story.Over) > 0 {
-		w.Field("rebased", fmt.Sprintf("from version %d over %s", story.Plan.Base, versions(story.Over)))
+	if len(explanation.Over) > 0 {
+		w.Field("rebased", fmt.Sprintf("from version %d over %s", explanation.Plan.Base, versions(explanation.Over)))
 	}
-	w.rivals(story.Rivals)
+	w.concurrent(explanation.Concurrent)
 }
 
-// Fate writes what a plan does and what became of it.
-func (w *Writer) Fate(fate qhplan.Fate) {
-	w.planHead(fate.Plan)
-	switch fate.State {
-	case qhplan.InEffect:
-		w.Field("state", fmt.Sprintf("in effect as version %d", fate.Version))
-	case qhplan.Refused:
-		w.Field("state", "can't be confirmed any more: "+fate.Why)
+// PlanExplanation writes what a plan does and what became of it.
+func (w *Writer) PlanExplanation(explanation qhplan.PlanExplanation) {
+	w.planHead(explanation.Plan)
+	switch explanation.State {
+	case qhplan.StateInEffect:
+		w.Field("state", fmt.Sprintf("in effect as version %d", explanation.Version))
+	case qhplan.StateRefused:
+		w.Field("state", "can't be confirmed any more: "+explanation.Why)
 	default:
-		w.Field("state", fmt.Sprintf("open, the newest version is %d; confirm it with: qhctl confirm %s", fate.Head, fate.Plan.ID))
+		w.Field("state", fmt.Sprintf("open, the newest version is %d; confirm it with: qhctl confirm %s", explanation.Head, explanation.Plan.ID))
 	}
-	w.lines(fate.Plan.Lines)
-	w.reach(fate.Plan.Reach)
-	w.rivals(fate.Rivals)
+	w.lines(explanation.Plan.Lines)
+	w.reach(explanation.Plan.Reach)
+	w.concurrent(explanation.Concurrent)
 }
 
-func (w *Writer) rivals(rivals []qhplan.Rival) {
-	for _, rival := range rivals {
+func (w *Writer) concurrent(concurrent []qhplan.ConcurrentPlan) {
+	for _, plan := range concurrent {
 		state := "not known to be in effect"
-		if rival.Version != 0 {
-			state = fmt.Sprintf("in effect as version %d", rival.Version)
+		if plan.Version != 0 {
+			state = fmt.Sprintf("in effect as version %d", plan.Version)
 		}
-		w.Field("raced by", fmt.Sprintf("%s of %s (%s), %s", rival.Plan, rival.Author, rival.Reason, state))
+		w.Field("raced by", fmt.Sprintf("%s of %s (%s), %s", plan.Plan, plan.Author, plan.Reason, state))
 	}
 }
 
--- a/qhctl/qhtext/status_test.go
+++ b/qhctl/qhtext/status_test.go
@@ -12,11 +12,11 @@
 	"quetzalhaven.dev/qhgolden"
 	"quetzalhaven.dev/qhlease"
 	"quetzalhaven.dev/qhstatus"
+	"quetzalhaven.dev/qhsuite"
 )
 
 func TestSpecs(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "qhtext")
+	qhsuite.Run(t, "qhtext")
 }
 
 var _ = Describe("Status", func() {
--- a/qhplan/confirm.go
+++ b/qhplan/confirm.go
@@ -128,7 +128,7 @@
 	}
 	base, _, err := p.chain.Load(ctx, qhhead.Head{Version: plan.Base, Record: plan.Record})
 	if qherr.Is(err, qherr.NotFound) {
-		return qhconfig.Config{}, plan.gone(head.Version, "its base was pruned")
+		return qhconfig.Config{}, plan.baseGone(head.Version, "its base was pruned")
 	}
 	if err != nil {
 		return qhconfig.Config{}, err
@@ -144,7 +144,7 @@
 	}
 	behind := int(head.Version - plan.Base)
 	if behind > maxBehind {
-		return qhhead.Head{}, false, plan.gone(head.Version, "it is too far behind")
+		return qhhead.Head{}, false, plan.baseGone(head.Version, "it is too far behind")
 	}
 	records, err := p.chain.History(ctx, head, behind)
 	if err != nil {
@@ -158,7 +158,7 @@
 		digest = record.Previous
 	}
 	if len(records) < behind {
-		return qhhead.Head{}, false, plan.gone(head.Version, "versions between the two were pruned")
+		return qhhead.Head{}, false, plan.baseGone(head.Version, "versions between the two were pruned")
 	}
 	return qhhead.Head{}, false, nil
 }
--- a/qhplan/explain.go
+++ b/qhplan/explain.go
@@ -11,8 +11,8 @@
 	"quetzalhaven.dev/qhid"
 )
 
-// Story tells how a version came to be.
-type Story struct {
+// VersionExplanation tells how a version came to be.
+type VersionExplanation struct {
 	Version qhid.Version `json:"version"`
 	// Record has who confirmed it, when and why.
 	Record qhhead.Record `json:"record"`
@@ -22,12 +22,12 @@
 	Plan *Plan `json:"plan,omitempty"`
 	// Over are the versions that the plan was rebased over, oldest first.
 	Over []qhid.Version `json:"over,omitempty"`
-	// Rivals are the other plans that were made from the plan's base.
-	Rivals []Rival `json:"rivals,omitempty"`
+	// Concurrent are the other plans that were made from the plan's base.
+	Concurrent []ConcurrentPlan `json:"concurrent,omitempty"`
 }
 
-// Rival is a plan that raced another.
-type Rival struct {
+// ConcurrentPlan is a plan that raced another.
+type ConcurrentPlan struct {
 	Plan   qhid.Plan `json:"plan"`
 	Author string    `json:"author"`
 	Reason string    `json:"reason"`
@@ -41,16 +41,16 @@
 
 // The states of a plan.
 const (
-	// Open can be confirmed, as the head stands now.
-	Open State = "open"
-	// InEffect has made a version.
-	InEffect State = "in effect"
-	// Refused can't be confirmed any more; a new plan has to be made.
-	Refused State = "refused"
+	// StateOpen can be confirmed, as the head stands now.
+	StateOpen State = "open"
+	// StateInEffect has made a version.
+	StateInEffect State = "in effect"
+	// StateRefused can't be confirmed any more; a new plan has to be made.
+	StateRefused State = "refused"
 )
 
-// Fate tells what became of a plan.
-type Fate struct {
+// PlanExplanation tells what became of a plan.
+type PlanExplanation struct {
 	Plan  Plan  `json:"plan"`
 	State State `json:"state"`
 	// Why tells why it would be refused.
@@ -58,39 +58,39 @@
 	// Head is the newest version.
 	Head qhid.Version `json:"head"`
 	// Version is the one that it made, 0 for none.
-	Version qhid.Version `json:"version,omitempty"`
-	Rivals  []Rival      `json:"rivals,omitempty"`
+	Version    qhid.Version     `json:"version,omitempty"`
+	Concurrent []ConcurrentPlan `json:"concurrent,omitempty"`
 }
 
 // ExplainVersion tells who made a version, when and why, what it changed, from
 // which plan, and what raced it.
-func (p *Planner) ExplainVersion(ctx context.Context, version qhid.Version) (Story, error) {
+func (p *Planner) ExplainVersion(ctx context.Context, version qhid.Version) (VersionExplanation, error) {
 	head, err := p.chain.Read(ctx)
 	if err != nil {
-		return Story{}, err
+		return VersionExplanation{}, err
 	}
 	made, record, err := p.find(ctx, head, version)
 	if err != nil {
-		return Story{}, err
+		return VersionExplanation{}, err
 	}
-	story := Story{Version: version, Record: record}
-	if story.Lines, err = p.linesOf(ctx, made, record); err != nil {
-		return Story{}, err
+	explanation := VersionExplanation{Version: version, Record: record}
+	if explanation.Lines, err = p.linesOf(ctx, made, record); err != nil {
+		return VersionExplanation{}, err
 	}
 	plan, err := p.Get(ctx, record.Plan)
 	if qherr.Is(err, qherr.NotFound) {
-		return story, nil
+		return explanation, nil
 	}
 	if err != nil {
-		return Story{}, err
+		return VersionExplanation{}, err
 	}
-	story.Plan = &plan
+	explanation.Plan = &plan
 	for over := plan.Base + 1; over < version; over++ {
-		story.Over = append(story.Over, over)
+		explanation.Over = append(explanation.Over, over)
 	}
-	addReasons(story.Lines, plan.Lines)
-	story.Rivals, err = p.rivals(ctx, plan)
-	return story, err
+	addReasons(explanation.Lines, plan.Lines)
+	explanation.Concurrent, err = p.concurrent(ctx, plan)
+	return explanation, err
 }
 
 // linesOf returns what a version changed of the one before.
@@ -121,68 +121,68 @@
 }
 
 // ExplainPlan tells what a plan does and what became of it.
-func (p *Planner) ExplainPlan(ctx context.Context, id qhid.Plan) (Fate, error) {
+func (p *Planner) ExplainPlan(ctx context.Context, id qhid.Plan) (PlanExplanation, error) {
 	plan, err := p.Get(ctx, id)
 	if err != nil {
-		return Fate{}, err
+		return PlanExplanation{}, err
 	}
 	head, err := p.chain.Read(ctx)
 	if err != nil {
-		return Fate{}, err
+		return PlanExplanation{}, err
 	}
-	fate := Fate{Plan: plan, State: Open, Head: head.Version}
-	if err := p.judge(ctx, plan, head, &fate); err != nil {
-		return Fate{}, err
+	explanation := PlanExplanation{Plan: plan, State: StateOpen, Head: head.Version}
+	if err := p.resolve(ctx, plan, head, &explanation); err != nil {
+		return PlanExplanation{}, err
 	}
-	fate.Rivals, err = p.rivals(ctx, plan)
-	return fate, err
+	explanation.Concurrent, err = p.concurrent(ctx, plan)
+	return explanation, err
 }
 
-// judge finds out what became of the plan.
-func (p *Planner) judge(ctx context.Context, plan Plan, head qhhead.Head, fate *Fate) error {
+// resolve finds out what became of the plan.
+func (p *Planner) resolve(ctx context.Context, plan Plan, head qhhead.Head, explanation *PlanExplanation) error {
 	if plan.Done != nil {
-		fate.State, fate.Version = InEffect, plan.Done.Version
+		explanation.State, explanation.Version = StateInEffect, plan.Done.Version
 		return nil
 	}
 	made, found, err := p.made(ctx, plan, head)
 	if found {
-		fate.State, fate.Version = InEffect, made.Version
+		explanation.State, explanation.Version = StateInEffect, made.Version
 		return nil
 	}
 	if err == nil {
 		_, err = p.next(ctx, plan, head)
 	}
 	if qherr.Is(err, qherr.Conflict) || qherr.Is(err, qherr.Refused) {
-		fate.State, fate.Why = Refused, err.Error()
+		explanation.State, explanation.Why = StateRefused, err.Error()
 		return nil
 	}
 	return err
 }
 
-// rivals returns the other plans of the plan's base, the oldest first.
-func (p *Planner) rivals(ctx context.Context, plan Plan) ([]Rival, error) {
+// concurrent returns the other plans of the plan's base, the oldest first.
+func (p *Planner) concurrent(ctx context.Context, plan Plan) ([]ConcurrentPlan, error) {
 	plans, err := p.plansOf(ctx, plan.Base)
 	if err != nil {
 		return nil, err
 	}
-	var rivals []Rival
+	var concurrent []ConcurrentPlan
 	for _, other := range plans {
 		if other.ID == plan.ID {
 			continue
 		}
-		rival := Rival{Plan: other.ID, Author: other.Author, Reason: other.Reason, Time: other.Time}
+		found := ConcurrentPlan{Plan: other.ID, Author: other.Author, Reason: other.Reason, Time: other.Time}
 		if other.Done != nil {
-			rival.Version = other.Done.Version
+			found.Version = other.Done.Version
 		}
-		rivals = append(rivals, rival)
+		concurrent = append(concurrent, found)
 	}
-	slices.SortStableFunc(rivals, func(a, b Rival) int { return a.Time.Compare(b.Time) })
-	return rivals, nil
+	slices.SortStableFunc(concurrent, func(a, b ConcurrentPlan) int { return a.Time.Compare(b.Time) })
+	return concurrent, nil
 }
 
 // plansOf returns the plans that were made from a version, ordered by id.
 func (p *Planner) plansOf(ctx context.Context, base qhid.Version) ([]Plan, error) {
-	objects, err := p.store.List(ctx, rivalPrefix(base))
+	objects, err := p.store.List(ctx, basePrefix(base))
 	if err != nil {
 		return nil, err
 	}
--- a/qhplan/line.go
+++ b/qhplan/line.go
@@ -14,9 +14,9 @@
 
 // The actions.
 const (
-	Add    Action = "add"
-	Change Action = "change"
-	Remove Action = "remove"
+	ActionAdd    Action = "add"
+	ActionChange Action = "change"
+	ActionRemove Action = "remove"
 )
 
 // Line is what a plan or a version changes of one service or route.
@@ -55,7 +55,7 @@
 		lines = append(lines, Line{Action: actionOf(before), Service: after.Name, Fields: changedFields(serviceFields(before), serviceFields(after))})
 	}
 	for _, name := range diff.NoServices {
-		lines = append(lines, Line{Action: Remove, Service: name, Fields: changedFields(serviceFields(base.FindService(name)), serviceFields(nil))})
+		lines = append(lines, Line{Action: ActionRemove, Service: name, Fields: changedFields(serviceFields(base.FindService(name)), serviceFields(nil))})
 	}
 	for i := range diff.Routes {
 		after := &diff.Routes[i]
@@ -63,16 +63,16 @@
 		lines = append(lines, Line{Action: actionOf(before), Route: after.Name, Fields: changedFields(routeFields(before), routeFields(after))})
 	}
 	for _, name := range diff.NoRoutes {
-		lines = append(lines, Line{Action: Remove, Route: name, Fields: changedFields(routeFields(base.FindRoute(name)), routeFields(nil))})
+		lines = append(lines, Line{Action: ActionRemove, Route: name, Fields: changedFields(routeFields(base.FindRoute(name)), routeFields(nil))})
 	}
 	return lines
 }
 
 func actionOf[T any](before *T) Action {
 	if before == nil {
-		return Add
+		return ActionAdd
 	}
-	return Change
+	return ActionChange
 }
 
 // value is one field of an entry as operators read it.
--- a/qhplan/plan.go
+++ b/qhplan/plan.go
@@ -64,7 +64,7 @@
 
 func keyOf(id qhid.Plan) qhplatform.Key { return prefix + qhplatform.Key(id) }
 
-// rivalPrefix begins the keys of the plans that were made from a version.
-func rivalPrefix(base qhid.Version) qhplatform.Key {
+// basePrefix begins the keys of the plans that were made from a version.
+func basePrefix(base qhid.Version) qhplatform.Key {
 	return prefix + qhplatform.Key(fmt.Sprintf("p%d-", base))
 }
--- a/qhplan/plan_test.go
+++ b/qhplan/plan_test.go
@@ -199,28 +199,28 @@
 }
 
 var _ = Describe("Explain", func() {
-	It("tells the story of a version and the fate of a plan", func(ctx SpecContext) {
+	It("tells how a version came to be and what became of a plan", func(ctx SpecContext) {
 		f := newFixture(nil)
 		f.open(ctx)
 		first, late, lost := f.plan(ctx, "fewer", slots), f.plan(ctx, "desk", desk), f.plan(ctx, "more", `{"do": "limit", "service": "booking", "slots": 20}`)
 		Expect(f.Confirm(ctx, first.ID, "amara")).To(HaveField("Version", qhid.Version(2)))
 		Expect(f.Confirm(ctx, late.ID, "bento")).To(HaveField("Version", qhid.Version(3)))
 
-		story, err := f.ExplainVersion(ctx, 3)
+		explanation, err := f.ExplainVersion(ctx, 3)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(story.Over).To(Equal([]qhid.Version{2}))
-		text, err := json.MarshalIndent(story, "", "  ")
+		Expect(explanation.Over).To(Equal([]qhid.Version{2}))
+		text, err := json.MarshalIndent(explanation, "", "  ")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(string(text)).To(qhgolden.Match("testdata/story.golden"))
+		Expect(string(text)).To(qhgolden.Match("testdata/explanation.golden"))
 
-		fate, err := f.ExplainPlan(ctx, lost.ID)
+		refused, err := f.ExplainPlan(ctx, lost.ID)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(fate.State).To(Equal(qhplan.Refused))
-		Expect(fate.Why).To(ContainSubstring(`both touch service "booking"`))
-		Expect(fate.Rivals).To(HaveLen(2))
-		Expect(f.ExplainPlan(ctx, late.ID)).To(And(HaveField("State", qhplan.InEffect), HaveField("Version", qhid.Version(3))))
+		Expect(refused.State).To(Equal(qhplan.StateRefused))
+		Expect(refused.Why).To(ContainSubstring(`both touch service "booking"`))
+		Expect(refused.Concurrent).To(HaveLen(2))
+		Expect(f.ExplainPlan(ctx, late.ID)).To(And(HaveField("State", qhplan.StateInEffect), HaveField("Version", qhid.Version(3))))
 		open := f.plan(ctx, "orders", orders)
-		Expect(f.ExplainPlan(ctx, open.ID)).To(HaveField("State", qhplan.Open))
+		Expect(f.ExplainPlan(ctx, open.ID)).To(HaveField("State", qhplan.StateOpen))
 		_, err = f.ExplainVersion(ctx, 4)
 		Expect(qherr.KindOf(err)).To(Equal(qherr.NotFound))
 	})
--- a/qhplan/prune.go
+++ b/qhplan/prune.go
@@ -55,7 +55,7 @@
 	var lists []qhplatform.Key
 	for i := range qhid.Version(digits) {
 		if i < digits/10 {
-			lists = append(lists, rivalPrefix(i))
+			lists = append(lists, basePrefix(i))
 			continue
 		}
 		lists = append(lists, prefix+qhplatform.Key(fmt.Sprintf("p%d", i)))
--- a/qhplan/rebase.go
+++ b/qhplan/rebase.go
@@ -69,22 +69,22 @@
 // the whole of the old content.
 func (p Plan) rebase(base, head qhconfig.Config, version qhid.Version) (qhconfig.Config, error) {
 	if p.Back != 0 {
-		return qhconfig.Config{}, p.gone(version, "it goes back to the whole of an old version")
+		return qhconfig.Config{}, p.baseGone(version, "it goes back to the whole of an old version")
 	}
 	plan := touchedBy(base, p.Diff)
 	since := touchedBy(base, qhconfig.Compare(base, head))
 	if common := plan.inCommon(since); len(common) > 0 {
-		return qhconfig.Config{}, p.gone(version, "both touch "+strings.Join(common, ", "))
+		return qhconfig.Config{}, p.baseGone(version, "both touch "+strings.Join(common, ", "))
 	}
 	next := p.Diff.Merge(head)
 	if err := next.Check(); err != nil {
-		return qhconfig.Config{}, p.gone(version, err.Error())
+		return qhconfig.Config{}, p.baseGone(version, err.Error())
 	}
 	return next, nil
 }
 
-// gone is the error of a plan that can't be rebased.
-func (p Plan) gone(version qhid.Version, why string) error {
+// baseGone is the error of a plan that can't be rebased.
+func (p Plan) baseGone(version qhid.Version, why string) error {
 	return qherr.New(qherr.Conflict, nil, "make the plan anew and look at what changed",
 		"plan %s was made from version %d, and version %d is the newest by now: %s", p.ID, p.Base, version, why)
 }
