qhplan: Say so where it can not be told whether a plan took effect

Cause: a plan whose note was lost and that is more than 256 versions behind was refused as "too far behind", which reads as if it had no effect; an operator who makes it anew shifts a share twice. A test confirms a plan, loses the note and lets 256 versions follow. Ruled out: an unbounded look in a confirm, which at the rate of one operator's calls would take minutes for a plan of yesterday.

--- a/qhplan/confirm.go
+++ b/qhplan/confirm.go
@@ -26,8 +26,8 @@
 const (
 	// maxRaces bounds the versions that may overtake one confirm.
 	maxRaces = 16
-	// maxBehind bounds the versions that a plan may be behind the head, and so
-	// the reads of one confirm.
+	// maxBehind bounds the versions that a plan may be behind the head when it
+	// is confirmed, and so the reads of one confirm.
 	maxBehind = 256
 )
 
@@ -51,7 +51,7 @@
 		if err != nil {
 			return Confirmed{}, notConfirmed(id, err)
 		}
-		made, found, err := p.made(ctx, plan, head)
+		made, found, err := p.made(ctx, plan, head, maxBehind)
 		if err != nil {
 			return Confirmed{}, notConfirmed(id, err)
 		}
@@ -137,14 +137,15 @@
 }
 
 // made returns the version that the plan made, where it is in effect. The plan
-// is looked for in every version after its base.
-func (p *Planner) made(ctx context.Context, plan Plan, head qhhead.Head) (qhhead.Head, bool, error) {
+// is looked for in every version after its base. The error is of kind Conflict
+// where these are more than limit or were pruned, so that it can't be told.
+func (p *Planner) made(ctx context.Context, plan Plan, head qhhead.Head, limit int) (qhhead.Head, bool, error) {
 	if head.Version <= plan.Base {
 		return qhhead.Head{}, false, nil
 	}
 	behind := int(head.Version - plan.Base)
-	if behind > maxBehind {
-		return qhhead.Head{}, false, plan.baseGone(head.Version, "it is too far behind")
+	if behind > limit {
+		return qhhead.Head{}, false, plan.baseGone(head.Version, "that is too far to tell whether the plan took effect before")
 	}
 	records, err := p.chain.History(ctx, head, behind)
 	if err != nil {
@@ -158,7 +159,7 @@
 		digest = record.Previous
 	}
 	if len(records) < behind {
-		return qhhead.Head{}, false, plan.baseGone(head.Version, "versions between the two were pruned")
+		return qhhead.Head{}, false, plan.baseGone(head.Version, "versions between the two were pruned, so that it can't be told whether the plan took effect before")
 	}
 	return qhhead.Head{}, false, nil
 }
--- a/qhplan/explain.go
+++ b/qhplan/explain.go
@@ -144,7 +144,7 @@
 		explanation.State, explanation.Version = StateInEffect, plan.Done.Version
 		return nil
 	}
-	made, found, err := p.made(ctx, plan, head)
+	made, found, err := p.made(ctx, plan, head, maxWalk)
 	if found {
 		explanation.State, explanation.Version = StateInEffect, made.Version
 		return nil
--- a/qhplan/plan_test.go
+++ b/qhplan/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -88,6 +89,18 @@
 		Expect(f.Confirm(ctx, plan.ID, "amara")).To(And(HaveField("Version", qhid.Version(2)), HaveField("Before", true)))
 	})
 
+	It("does not say that a plan has no effect where it is too far behind to tell", func(ctx SpecContext) {
+		plan := f.plan(ctx, "fewer", slots)
+		f.confirmWithoutNote(ctx, plan)
+		for i := range 256 {
+			Expect(f.Confirm(ctx, f.plan(ctx, "desk", fmt.Sprintf(`{"do": "limit", "service": "desk", "slots": %d}`, i+1)).ID, "amara")).NotTo(BeNil())
+		}
+		_, err := f.Confirm(ctx, plan.ID, "amara")
+		Expect(qherr.KindOf(err)).To(Equal(qherr.Conflict))
+		Expect(err).To(MatchError(ContainSubstring("too far to tell whether the plan took effect before")))
+		Expect(f.ExplainPlan(ctx, plan.ID)).To(HaveField("Version", qhid.Version(2)))
+	})
+
 	It("is settled where the answer to the head's write is lost", func(ctx SpecContext) {
 		plan := f.plan(ctx, "fewer", slots)
 		f.memory.SetFaults(qhplatform.Faults{Lost: 1, Prefix: "head"})
