qhverdict: Print how long each package took

Cause: the whole run is far over three minutes and nothing told why. Change: the result line of a package has its seconds.

--- a/qhverdict/results.go
+++ b/qhverdict/results.go
@@ -16,6 +16,8 @@
 	ImportPath string
 	Test       string
 	Output     string
+	// Elapsed is in seconds.
+	Elapsed float64
 }
 
 // Results collects what the test runner told.
@@ -45,7 +47,7 @@
 		return r.failPackage(event.Package)
 	case event.Test == "" && event.Action == "pass":
 		delete(r.output, event.Package)
-		return "ok   " + event.Package
+		return fmt.Sprintf("ok   %s (%.0f s)", event.Package, event.Elapsed)
 	case event.Test != "" && event.Action == "pass":
 		r.Passed++
 	case event.Test != "" && event.Action == "fail":
