qhspread: Read a version again whose record could not be read

An accepted version stayed out of force for good where its relay saw the head and could not read the record, as on a slow platform: the head counted as seen before the version was loaded, and the next watch waited for a newer one.

Change: a head counts as seen once its version was loaded; a failed load is tried again after the jitter of a failed watch. Ruled out as a cure: the exchange with random peers, since no node has the version.

--- /dev/null
+++ b/qhspread/load_test.go
@@ -0,0 +1,41 @@
+package qhspread_test
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhplatform"
+)
+
+var _ = Describe("A relay", func() {
+	It("reads a version again whose record could not be read at first", func() {
+		var out atomic.Bool
+		var failed atomic.Int64
+		f := newFleet()
+		f.store = func(qhid.Node) qhplatform.Store {
+			store := f.platform.Store()
+			get := store.Get
+			store.Get = func(ctx context.Context, key qhplatform.Key) (qhplatform.Object, error) {
+				if out.Load() && strings.HasPrefix(string(key), "record/") {
+					failed.Add(1)
+					return qhplatform.Object{}, qherr.New(qherr.Unavailable, nil, "", "records are out of reach")
+				}
+				return get(ctx, key)
+			}
+			return store
+		}
+		nodes := f.start("kigali-a", 3)
+		expectVersion(nodes, f.commit())
+		out.Store(true)
+		version := f.commit()
+		Eventually(failed.Load, patience).Should(BeNumerically(">", 0))
+		out.Store(false)
+		expectVersion(nodes, version)
+	})
+})
--- a/qhspread/watch.go
+++ b/qhspread/watch.go
@@ -34,11 +34,13 @@
 			continue
 		}
 		if err == nil {
-			seen = head
 			err = s.load(ctx, head)
 		}
 		if err == nil || qherr.Is(err, qherr.NotFound) {
 			s.platform.note()
+		}
+		if err == nil {
+			seen = head // only now, so that a load that failed is tried again
 			retry = firstWatchRetry
 			continue
 		}
