qhhead: Check a loaded version once, by the digest of the whole

A reader without a version took 226 ms for one of 3,300 services that is 15 versions from its parts: it digested the whole configuration after each difference.

Change: differences are merged unchecked and the result is checked against its record's digest, which covers all that it was put together from.

Tests refuse a head with a wrong version and a record with a wrong digest.

--- a/qhhead/bench_test.go
+++ b/qhhead/bench_test.go
@@ -57,3 +57,35 @@
 	b.ReportMetric(read/n, "read-B/change")
 	b.ReportMetric(reads/n, "reads/change")
 }
+
+// BenchmarkColdLoad measures what a reader that has no version reads for one
+// that is as far from its parts as versions get.
+func BenchmarkColdLoad(b *testing.B) {
+	for _, services := range []int{33, 330, 3300} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) { benchmarkColdLoad(b, services) })
+	}
+}
+
+func benchmarkColdLoad(b *testing.B, services int) {
+	const changes = 16
+	ctx := context.Background()
+	memory := qhplatform.NewMemory(qhplatform.MemoryOptions{})
+	writer := qhhead.New(qhhead.Options{Store: memory.Store()})
+	var head qhhead.Head
+	for i := range changes {
+		var err error
+		config := withSlots(sized(services), 0, i+1)
+		if head, err = writer.Commit(ctx, change(head, qhid.Plan(fmt.Sprintf("p%d", i)), config)); err != nil {
+			b.Fatal(err)
+		}
+	}
+	before := memory.Counts()
+	for b.Loop() {
+		if _, _, err := qhhead.New(qhhead.Options{Store: memory.Store()}).Load(ctx, head); err != nil {
+			b.Fatal(err)
+		}
+	}
+	after := memory.Counts()
+	b.ReportMetric(float64(after.Read-before.Read)/float64(b.N), "read-B/load")
+	b.ReportMetric(float64(after.Total-before.Total)/float64(b.N), "reads/load")
+}
--- a/qhhead/chain_test.go
+++ b/qhhead/chain_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -178,4 +180,24 @@
 			return qhplatform.Key("part/" + record.Parts[0])
 		}),
 	)
+
+	It("refuses a head whose version is not its record's, and a record whose digest is not its configuration's", func() {
+		first := commit(qhhead.Head{}, "one", 1)
+		second := commit(first, "two", 2)
+		wrong := second
+		wrong.Version = 7
+		_, _, err := fresh().Load(ctx, wrong)
+		Expect(err).To(beKind(qherr.Internal))
+
+		_, record, err := fresh().Load(ctx, second)
+		Expect(err).NotTo(HaveOccurred())
+		record.Config = first.Record
+		data, err := json.Marshal(record)
+		Expect(err).NotTo(HaveOccurred())
+		second.Record = qhid.Digest(fmt.Sprintf("%x", sha256.Sum256(data)))
+		_, err = memory.Store().Create(ctx, qhplatform.Key("record/"+second.Record), data)
+		Expect(err).NotTo(HaveOccurred())
+		_, _, err = fresh().Load(ctx, second)
+		Expect(err).To(beKind(qherr.Internal))
+	})
 })
--- a/qhhead/load.go
+++ b/qhhead/load.go
@@ -40,9 +40,8 @@
 			return loaded{}, err
 		}
 	}
-	if version.record.Version != head.Version {
-		return loaded{}, qherr.New(qherr.Internal, nil, "restore the head on the platform",
-			"the head names version %d with the record of version %d", head.Version, version.record.Version)
+	if err := version.check(head); err != nil {
+		return loaded{}, err
 	}
 	c.keep(version)
 	return version, nil
@@ -87,31 +86,37 @@
 			return loaded{}, err
 		}
 	}
-	config := join(parts)
-	if digest := config.Digest(); digest != next.record.Config {
-		return loaded{}, qherr.New(qherr.Internal, nil, "restore the parts on the platform",
-			"version %d has digest %s, not %s", next.record.Version, digest, next.record.Config)
-	}
-	return loaded{digest: next.digest, record: next.record, config: config, parts: next.record.Parts}, nil
+	return loaded{digest: next.digest, record: next.record, config: join(parts), parts: next.record.Parts}, nil
 }
 
-// apply returns the next version, checked against the digests of its record.
+// apply returns the next version, which is not checked yet.
 func (l loaded) apply(next named) (loaded, error) {
-	if next.record.Diff == nil || next.record.Diff.Digest != next.record.Config {
+	if next.record.Diff == nil {
 		return loaded{}, qherr.New(qherr.Internal, nil, "restore the record on the platform",
-			"the record of version %d has no difference that gives its digest", next.record.Version)
-	}
-	config, err := next.record.Diff.Apply(l.config)
-	if err != nil {
-		return loaded{}, err
+			"the record of version %d has neither parts nor a difference", next.record.Version)
 	}
 	parts := l.parts
 	if next.record.Depth == 0 {
 		parts = next.record.Parts
 	}
+	config := next.record.Diff.Merge(l.config)
 	return loaded{digest: next.digest, record: next.record, config: config, parts: parts}, nil
 }
 
+// check returns an error unless the version is the head's and has the digest
+// of its record. Whatever it was put together from needs no check of its own.
+func (l loaded) check(head Head) error {
+	if l.record.Version != head.Version {
+		return qherr.New(qherr.Internal, nil, "restore the head on the platform",
+			"the head names version %d with the record of version %d", head.Version, l.record.Version)
+	}
+	if digest := l.config.Digest(); digest != l.record.Config {
+		return qherr.New(qherr.Internal, nil, "restore the records and parts on the platform",
+			"version %d has digest %s, not %s", l.record.Version, digest, l.record.Config)
+	}
+	return nil
+}
+
 func (c *Chain) known() loaded {
 	c.mu.Lock()
 	defer c.mu.Unlock()
