--- a/qhlease/keeper.go
+++ b/qhlease/keeper.go
@@ -193,7 +193,7 @@
 	}
 	relay := qhstatus.Relay{Fence: held.relay.Fence, Renewal: held.relay.Renewal + 1, Token: rand.Text()}
 	_, err := k.write(ctx, &holding{slot: held.slot, revision: held.revision, relay: relay})
-	if qherr.Is(err, qherr.Conflict) {
+	if qherr.Is(err, qherr.Conflict) || qherr.Is(err, qherr.NotFound) {
 		return nil // another node has it
 	}
 	return err
