qhstand: Stop a target's call when its caller's time has passed

Targets accept deadlines; the stand-in went on with a call after the time in Request-Timeout had passed, so that a proof could not see work that nobody waits for any more.

Change: the call ends at the deadline with 504 and counts as cancelled. A test gives a call of an hour 10 ms.

--- a/qhstand/qhtarget/record.go
+++ b/qhstand/qhtarget/record.go
@@ -16,7 +16,8 @@
 	Key     string       `json:"key,omitempty"`
 	Method  string       `json:"method"`
 	Path    string       `json:"path"`
-	// Cancelled tells that the caller went away while the call ran.
+	// Cancelled tells that the caller went away, or its time passed, while the
+	// call ran.
 	Cancelled bool `json:"cancelled,omitempty"`
 }
 
@@ -27,7 +28,8 @@
 	Ran int `json:"ran"`
 	// Shed counts calls that were refused before they ran.
 	Shed int `json:"shed"`
-	// Cancelled counts calls whose caller went away while they ran.
+	// Cancelled counts calls whose caller went away, or whose time passed, while
+	// they ran.
 	Cancelled int `json:"cancelled"`
 	// Running and Peak are the calls that run now, and the most at a time.
 	Running int `json:"running"`
--- a/qhstand/qhtarget/suite_test.go
+++ b/qhstand/qhtarget/suite_test.go
@@ -3,11 +3,9 @@
 import (
 	"testing"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
+	"quetzalhaven.dev/qhsuite"
 )
 
 func TestTarget(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "Target")
+	qhsuite.Run(t, "Target")
 }
--- a/qhstand/qhtarget/target.go
+++ b/qhstand/qhtarget/target.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 	coldFactor = 5
 	// maxBody bounds the body of a call.
 	maxBody qhid.Bytes = 64 << 20
+	// maxTimeout is the longest time that a caller can give a call.
+	maxTimeout = time.Hour
 	// maxFaults bounds the body that sets the faults.
 	maxFaults qhid.Bytes = 4096
 )
@@ -181,14 +184,27 @@
 		shed(w)
 		return
 	}
-	err = t.work(r.Context(), faults)
+	ctx, cancel := withDeadline(r)
+	defer cancel()
+	err = t.work(ctx, faults)
 	t.recorder.end(number, err != nil)
 	if err != nil {
+		http.Error(w, "the time for the call has passed", http.StatusGatewayTimeout)
 		return
 	}
 	t.answerCall(w, r, faults, t.echo(r, run, body))
 }
 
+// withDeadline returns the context of a call, which ends when the time that the
+// caller gave it has passed.
+func withDeadline(r *http.Request) (context.Context, context.CancelFunc) {
+	seconds, err := strconv.ParseFloat(r.Header.Get(qhheader.Timeout), 64)
+	if err != nil || seconds < 0 || seconds > maxTimeout.Seconds() {
+		return r.Context(), func() {}
+	}
+	return context.WithTimeout(r.Context(), time.Duration(seconds*float64(time.Second)))
+}
+
 // shed answers a call that did not run.
 func shed(w http.ResponseWriter) {
 	w.Header().Set(qhheader.RetryAfter, "1")
--- a/qhstand/qhtarget/target_test.go
+++ b/qhstand/qhtarget/target_test.go
@@ -92,6 +92,16 @@
 		Entry("before its first byte", qhtarget.Faults{Cut: true}),
 	)
 
+	It("stops a call when the time that the caller gave it has passed", func() {
+		target.SetFaults(qhtarget.Faults{Time: qhconfig.Duration(time.Hour)})
+		req := httptest.NewRequest(http.MethodGet, "/urns", nil)
+		req.Header.Set(qhheader.Timeout, "0.01")
+		answer := httptest.NewRecorder()
+		target.Handler().ServeHTTP(answer, req)
+		Expect(answer.Code).To(Equal(http.StatusGatewayTimeout))
+		Expect(target.Record().Cancelled).To(Equal(1))
+	})
+
 	It("sends a chunked answer with its digest as a trailer", func() {
 		target.SetFaults(qhtarget.Faults{Chunked: true, Size: 100_000, Late: qhconfig.Duration(time.Millisecond)})
 		resp, body, err := call(ctx, "r1")
