--- a/qhplatform/http_call.go
+++ b/qhplatform/http_call.go
@@ -91,6 +91,7 @@
 		return nil, qherr.New(qherr.Unavailable, err, "wait before the next call",
 			"%s %s was not sent, since this process calls the platform at its set rate", req.op, req.key)
 	}
+	c.count("qh_platform_calls_total", req.op, 1)
 	resp, err := client.Do(call)
 	if err != nil {
 		client.CloseIdleConnections()
@@ -192,13 +193,16 @@
 	return value, nil
 }
 
+// count adds to a counter of an operation.
+func (c *client) count(name string, op Operation, more int) {
+	c.Metrics.GetOrCreateCounter(fmt.Sprintf("%s{op=%q}", name, op)).Add(more)
+}
+
 func (c *client) measure(req request, start time.Time, body []byte, err error) {
-	label := fmt.Sprintf(`{op=%q}`, req.op)
-	c.Metrics.GetOrCreateCounter("qh_platform_calls_total" + label).Inc()
-	c.Metrics.GetOrCreateCounter("qh_platform_sent_bytes_total" + label).Add(len(req.value))
-	c.Metrics.GetOrCreateCounter("qh_platform_received_bytes_total" + label).Add(len(body))
+	c.count("qh_platform_sent_bytes_total", req.op, len(req.value))
+	c.count("qh_platform_received_bytes_total", req.op, len(body))
 	if req.op != OpWatch {
-		c.Metrics.GetOrCreateHistogram("qh_platform_call_seconds" + label).UpdateDuration(start)
+		c.Metrics.GetOrCreateHistogram(fmt.Sprintf("qh_platform_call_seconds{op=%q}", req.op)).UpdateDuration(start)
 	}
 	if err == nil || qherr.Is(err, qherr.NotFound) {
 		return
--- a/qhplatform/http_test.go
+++ b/qhplatform/http_test.go
@@ -1,6 +1,7 @@
 package qhplatform_test
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -85,13 +87,17 @@
 
 	It("does not call faster than its rate", func() {
 		memory := qhplatform.NewMemory(qhplatform.MemoryOptions{})
-		store := connect(qhplatform.HTTPOptions{Rate: 1e-3}, qhplatform.NewHandler(memory))
+		set := metrics.NewSet()
+		store := connect(qhplatform.HTTPOptions{Rate: 1e-3, Metrics: set}, qhplatform.NewHandler(memory))
 		_, err := store.Create(ctx, "a", nil)
 		Expect(err).NotTo(HaveOccurred())
 		_, err = store.Create(ctx, "b", nil)
 		Expect(err).To(beKind(qherr.Unavailable))
 		Expect(err).To(MatchError(ContainSubstring("was not sent")))
 		Expect(memory.Counts().Total).To(Equal(1))
+		var written bytes.Buffer
+		set.WritePrometheus(&written)
+		Expect(written.String()).To(ContainSubstring(`qh_platform_calls_total{op="create"} 1` + "\n"))
 	})
 
 	It("tries reads again, and stops to do so while the platform stays out", func() {
