qhmember: Bound the quarrel of two processes with one id

A VM that was paused and replaced may wake: two processes then answer each other with later incarnations without end, and each answer goes to the whole fleet. An answer now waits at least 2 s after the last; what is not answered comes again by an exchange. The test of two tables that hear each other a hundred times in 10 s fails without the pause. Also: a child that joins again replaces its old link, and a node that was told to wait leaves the platform alone.

--- a/qhmember/table.go
+++ b/qhmember/table.go
@@ -37,6 +37,8 @@
 	// stale has the nodes whose change does not show in the view yet, with
 	// the entry that does; an entry without a node for none.
 	stale map[qhid.Node]Entry
+	// refuted is when this node last answered what others say of it.
+	refuted time.Time
 	// shown is when the view was made, took how long that took.
 	shown time.Time
 	took  time.Duration
@@ -66,7 +68,7 @@
 // Merge takes entries of any age and order, and returns those that changed what
 // is known. An entry of this node that says more than this node ever did (it is
 // down, or lives a later life) is answered by a newer own entry, which is among
-// those returned.
+// those returned. Such answers have a shortest time between them.
 func (t *Table) Merge(entries []Entry) []Entry {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -97,12 +99,21 @@
 		return Entry{}, false
 	}
 	if entry.Node == t.self {
+		if t.now().Sub(t.refuted) < refutePause {
+			return Entry{}, false // it comes again, by an exchange
+		}
+		t.refuted = t.now()
 		entry = refute(known, entry)
 	}
 	t.put(entry)
 	return entry, true
 }
 
+// refutePause is the shortest time between two answers to what others say of this
+// node. It bounds the quarrel of two processes that run with the same id, as when
+// a VM that was paused wakes after it was replaced.
+const refutePause = 2 * time.Second
+
 // refute returns an own entry that is newer than what others say.
 func refute(own, heard Entry) Entry {
 	if heard.Incarnation > own.Incarnation {
--- a/qhmember/table_test.go
+++ b/qhmember/table_test.go
@@ -95,7 +95,8 @@
 var _ = Describe("Table", func() {
 	It("answers what others say of its own node", func() {
 		self := entryOf("a1", 5, 3, qhmember.Up)
-		table := qhmember.NewTable(qhmember.Options{Self: self})
+		now := time.Unix(1_800_000_000, 0)
+		table := qhmember.NewTable(qhmember.Options{Self: self, Now: func() time.Time { return now }})
 		down := self
 		down.State = qhmember.Down
 		changed := table.Merge([]qhmember.Entry{down})
@@ -103,12 +104,29 @@
 		Expect(changed[0].State).To(Equal(qhmember.Up))
 		Expect(qhmember.Compare(changed[0], down)).To(BeNumerically(">", 0))
 		later := entryOf("a1", 9, 0, qhmember.Leaving)
+		Expect(table.Merge([]qhmember.Entry{later})).To(BeEmpty())
+		Expect(table.Self().State).To(Equal(qhmember.Up))
+		now = now.Add(2 * time.Second)
 		changed = table.Merge([]qhmember.Entry{later})
 		Expect(qhmember.Compare(changed[0], later)).To(BeNumerically(">", 0))
 		Expect(changed[0].State).To(Equal(qhmember.Up))
 		Expect(table.Merge([]qhmember.Entry{down, later})).To(BeEmpty())
 	})
 
+	It("bounds the quarrel of two processes with one id", func() {
+		now := time.Unix(1_800_000_000, 0)
+		clock := func() time.Time { return now }
+		one := qhmember.NewTable(qhmember.Options{Self: entryOf("a1", 5, 0, qhmember.Up), Now: clock})
+		other := qhmember.NewTable(qhmember.Options{Self: entryOf("a1", 6, 0, qhmember.Up), Now: clock})
+		said := 0
+		for range 100 {
+			said += len(one.Merge([]qhmember.Entry{other.Self()}))
+			said += len(other.Merge([]qhmember.Entry{one.Self()}))
+			now = now.Add(100 * time.Millisecond)
+		}
+		Expect(said).To(BeNumerically("<=", 12))
+	})
+
 	It("marks down only what was judged", func() {
 		table := qhmember.NewTable(qhmember.Options{})
 		judged := entryOf("a1", 1, 1, qhmember.Up)
--- a/qhspread/attach.go
+++ b/qhspread/attach.go
@@ -44,7 +44,13 @@
 // attach tries the nodes that it knows, then the platform. A node that finds no
 // place, as when it is cut off from all relays, at least reads the head.
 func (s *Spreader) attach(ctx context.Context) bool {
-	if s.joinAny(ctx, s.parents()) || s.claim(ctx) {
+	if s.joinAny(ctx, s.parents()) {
+		return true
+	}
+	if s.relays.avoiding() {
+		return false // a node that lives will take this one soon
+	}
+	if s.claim(ctx) {
 		return true
 	}
 	var relays []qhid.Address
--- a/qhspread/bench_test.go
+++ b/qhspread/bench_test.go
@@ -347,3 +347,40 @@
 	group.Wait()
 	return times
 }
+
+// BenchmarkHerd kills all nodes of an availability zone at once and starts them
+// again, and measures how long it takes until all hold the newest version and
+// know each other, and what the platform is asked meanwhile.
+func BenchmarkHerd(b *testing.B) {
+	for _, size := range []int{32, 128} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) { benchHerd(b, size) })
+	}
+}
+
+func benchHerd(b *testing.B, size int) {
+	RegisterTestingT(b)
+	f := benchFleetOf(size, 1)
+	defer f.stop()
+	version := f.commit()
+	nodes := f.all()
+	ready := func(n *node) bool { return n.held() == version && len(n.members.View().Entries) >= size }
+	until(nodes, ready)
+	var times []time.Duration
+	calls, most := 0, 0.0
+	for range b.N {
+		killAll(nodes)
+		before := f.platform.Counts().Total
+		var again []*node
+		for _, n := range nodes {
+			again = append(again, f.startNode(n.zone, n.id, nodes[0].address, nodes[size/2].address))
+		}
+		times = append(times, until(again, ready)...)
+		calls += f.platform.Counts().Total - before
+		for _, n := range again {
+			most = max(most, out(n.metrics))
+		}
+		nodes = again
+	}
+	report(b, times, most*float64(b.N), 0, size)
+	b.ReportMetric(float64(calls)/float64(b.N)/float64(size), "calls/node")
+}
--- a/qhspread/fleet_test.go
+++ b/qhspread/fleet_test.go
@@ -60,8 +60,8 @@
 		Batch:     qhconfig.Duration(10 * time.Millisecond),
 		Heartbeat: qhconfig.Duration(200 * time.Millisecond),
 		Silence:   qhconfig.Duration(time.Second),
-		Exchange:  qhconfig.Duration(time.Second),
-		Lease:     qhconfig.Duration(1500 * time.Millisecond),
+		Exchange:  qhconfig.Duration(600 * time.Millisecond),
+		Lease:     qhconfig.Duration(1200 * time.Millisecond),
 	}
 }
 
--- a/qhspread/join.go
+++ b/qhspread/join.go
@@ -28,11 +28,12 @@
 	if reason := s.objection(join); reason != "" {
 		return s.refusal(reason, 0), nil
 	}
-	if children := s.children(); len(children) >= s.Settings.Fanout {
+	if children := s.children(); len(children) >= s.Settings.Fanout && !s.hasChild(join.Node) {
 		answer := s.refusal("full", 0)
 		answer.To = s.addressOf(children[rand.IntN(len(children))].node) //nolint:gosec // spreads load, no secret
 		return answer, nil
 	}
+	s.dropChild(join.Node)
 	child := newNeighbor(link, roleChild, join.Node, join.Zone, join.Version)
 	s.connect(child)
 	return s.refusal("", 0), nil
@@ -54,6 +55,23 @@
 	return ""
 }
 
+// hasChild tells whether a node is a child already, on a link that it has given
+// up. It is called with the lock held.
+func (s *Spreader) hasChild(node qhid.Node) bool {
+	return slices.ContainsFunc(s.children(), func(n *neighbor) bool { return n.node == node })
+}
+
+// dropChild ends the links to a child, so that it is not counted twice. It is
+// called with the lock held.
+func (s *Spreader) dropChild(node qhid.Node) {
+	for _, n := range s.children() {
+		if n.node == node {
+			delete(s.neighbors, n)
+			s.drop(n, "joined again")
+		}
+	}
+}
+
 // children returns the neighbors below this node. It is called with the lock held.
 func (s *Spreader) children() []*neighbor {
 	var children []*neighbor
--- a/qhspread/relays.go
+++ b/qhspread/relays.go
@@ -92,6 +92,18 @@
 	r.avoided[address] = now.Add(d)
 }
 
+// avoiding tells whether an address is to be avoided for a while.
+func (r *relays) avoiding() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, until := range r.avoided {
+		if time.Now().Before(until) {
+			return true
+		}
+	}
+	return false
+}
+
 // unique returns the addresses once each, without own and without those to be avoided.
 func (r *relays) unique(list []qhid.Address, own qhid.Address) []qhid.Address {
 	r.mu.Lock()
