--- /dev/null
+++ b/qhbalance/suite_test.go
@@ -0,0 +1,11 @@
+package qhbalance_test
+
+import (
+	"testing"
+
+	"quetzalhaven.dev/qhsuite"
+)
+
+func TestBalance(t *testing.T) {
+	qhsuite.Run(t, "qhbalance")
+}
--- /dev/null
+++ b/qhctl/qhcommand/prune.go
@@ -0,0 +1,89 @@
+package qhcommand
+
+import (
+	"context"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"quetzalhaven.dev/qhctl/qhtext"
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhhead"
+	"quetzalhaven.dev/qhplan"
+	"quetzalhaven.dev/qhplatform"
+)
+
+const (
+	// keptVersions is how many versions prune keeps.
+	keptVersions = 1000
+	// leastVersions is the least that it can be told to keep.
+	leastVersions = 32
+	// pruneTimeout bounds a prune.
+	pruneTimeout = 10 * time.Minute
+)
+
+// newPrune returns the command that deletes old versions.
+func newPrune(s *session) *cobra.Command {
+	command := &cobra.Command{
+		Use:   "prune",
+		Short: "Delete old versions from the platform",
+		Long: `Deletes the records and parts of old versions, and the plans that were made from
+them. The newest versions stay whole, and commits that run meanwhile are not
+harmed. A version that was deleted can't be gone back to or explained any more.`,
+		Example: "  qhctl prune --keep 1000",
+		Args:    exactArgs(),
+	}
+	keep := command.Flags().Int("keep", keptVersions, "how many of the newest versions to keep")
+	command.RunE = s.run(func(command *cobra.Command, _ []string) error {
+		if *keep < leastVersions {
+			return qherr.New(qherr.BadInput, nil, "keep at least 32, so that no node that is behind misses one", "--keep can't be %d", *keep)
+		}
+		store, cleanup, err := s.platform()
+		if err != nil {
+			return err
+		}
+		defer cleanup()
+		ctx, cancel := s.context(command.Context(), pruneTimeout)
+		defer cancel()
+		pruned, err := prune(ctx, store, *keep)
+		if err != nil {
+			return err
+		}
+		return show(s, command, pruned, writePruned)
+	})
+	return command
+}
+
+func prune(ctx context.Context, store qhplatform.Store, keep int) (Pruned, error) {
+	chain := qhhead.New(qhhead.Options{Store: store})
+	versions, err := chain.Prune(ctx, keep)
+	if err != nil {
+		return Pruned{}, unpruned(ctx, err)
+	}
+	plans, err := qhplan.New(qhplan.Options{Store: store, Chain: chain}).Prune(ctx, keep)
+	if err != nil {
+		return Pruned{}, unpruned(ctx, err)
+	}
+	return Pruned{Versions: versions, Plans: plans}, nil
+}
+
+// unpruned says what an error means for what is kept.
+func unpruned(ctx context.Context, err error) error {
+	if ctx.Err() == nil {
+		return err
+	}
+	return qherr.New(qherr.Unavailable, err, "prune again, it goes on where it ended, or lengthen --timeout", "the time was over before all was pruned")
+}
+
+// Pruned is what prune deleted.
+type Pruned struct {
+	Versions qhhead.Pruned `json:"versions"`
+	Plans    qhplan.Pruned `json:"plans"`
+}
+
+func writePruned(w *qhtext.Writer, pruned Pruned) {
+	w.Line("deleted %d records, %d parts and %d plans", pruned.Versions.Records, pruned.Versions.Parts, pruned.Plans.Plans)
+	if left := pruned.Versions.Left + pruned.Plans.Left; left > 0 {
+		w.Line("%d more could not be deleted now; prune again later", left)
+	}
+}
