qhspread: Read the head behind a watch that ends silent

With watches that give no answer a relay never learnt of a version: its own bound ended the watch, and the read behind it was left out (the test waited 30 s in vain). The read now follows, after twice the lease time. Also proves that connections gone silent for good mark nobody down (fails where a lost link is taken for a dead node: without the question on a new connection), and that a slow platform keeps its relay (fails with calls bounded to 200 ms). A relay takes the diff of the record where it fits.

--- a/qhspread/bench_test.go
+++ b/qhspread/bench_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -100,7 +101,7 @@
 	}
 	time.Sleep(idleTime / 2)
 	idle := make([]float64, len(nodes))
-	calls := f.platform.Counts().Total
+	calls, used := f.platform.Counts().Total, processorTime()
 	for i, n := range nodes {
 		idle[i] = out(n.metrics)
 	}
@@ -111,6 +112,7 @@
 		idleBusiest, idleTotal = max(idleBusiest, rate), idleTotal+rate
 		idle[i] = out(n.metrics)
 	}
+	used = processorTime() - used
 	idleCalls := float64(f.platform.Counts().Total-calls) / idleTime.Seconds()
 	began := time.Now()
 	var times []time.Duration
@@ -128,6 +130,14 @@
 	b.ReportMetric(idleBusiest, "idle-busiest-B/s")
 	b.ReportMetric(idleTotal/float64(size), "idle-mean-B/s")
 	b.ReportMetric(idleCalls, "idle-calls/s")
+	b.ReportMetric(100*used.Seconds()/idleTime.Seconds()/float64(size), "idle-core-%/node")
+}
+
+// processorTime returns what this process has used.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
 }
 
 // benchFleet returns a fleet with default settings in three availability zones.
--- a/qhspread/decision_test.go
+++ b/qhspread/decision_test.go
@@ -177,23 +177,38 @@
 	}
 }
 
-// BenchmarkDiffFrame reports the bytes of one change on one link by the size of
-// the configuration, beside the whole.
-func BenchmarkDiffFrame(b *testing.B) {
+// BenchmarkChange measures a change of one service on a node by the size of the
+// configuration: the diff taken, checked and swapped; the whole compared; and the
+// bytes of both on one link.
+func BenchmarkChange(b *testing.B) {
 	for _, services := range []int{33, 330, 3300} {
-		b.Run(fmt.Sprint(services), func(b *testing.B) {
-			base := qhsample.Sized(services)
+		base := qhsample.Sized(services)
+		changed := qhconfig.Config{Services: slices.Clone(base.Services), Routes: base.Routes}
+		changed.Services[7].Queue = 100
+		configs := []qhconfig.Config{base, changed}
+		digests := []qhid.Digest{base.Digest(), changed.Digest()}
+		diffs := []qhconfig.Diff{qhconfig.Compare(changed, base), qhconfig.Compare(base, changed)}
+		whole, _ := qhwire.Pack(base)
+		b.Run(fmt.Sprintf("diff/%d", services), func(b *testing.B) {
 			node := newContent(qhhold.New(qhhold.Options{}), zap.NewNop())
-			_, _ = node.takeWhole(1, base.Digest(), base)
+			_, _ = node.takeWhole(1, digests[0], base)
 			for i := range b.N {
-				next := qhconfig.Config{Services: slices.Clone(base.Services), Routes: base.Routes}
-				next.Services[7].Queue = 100 + i%2
-				_, _ = node.takeWhole(qhid.Version(i+2), next.Digest(), next)
+				diff := diffs[(i+1)%2]
+				diff.Base, diff.Next = qhid.Version(i+1), qhid.Version(i+2)
+				if newer, err := node.takeDiff(diff); !newer || err != nil {
+					b.Fatal(newer, err)
+				}
+			}
+			b.ReportMetric(float64(frameSize(diffs[1])), "frame-B")
+		})
+		b.Run(fmt.Sprintf("whole/%d", services), func(b *testing.B) {
+			node := newContent(qhhold.New(qhhold.Options{}), zap.NewNop())
+			for i := range b.N {
+				if newer, err := node.takeWhole(qhid.Version(i+1), digests[i%2], configs[i%2]); !newer || err != nil {
+					b.Fatal(newer, err)
+				}
 			}
-			diffs, _ := node.since(qhid.Version(max(b.N, 1)))
-			whole, _ := qhwire.Pack(base)
-			b.ReportMetric(float64(frameSize(diffs[len(diffs)-1])), "diff-B")
-			b.ReportMetric(float64(len(whole)), "whole-B")
+			b.ReportMetric(float64(len(whole)), "packed-B")
 		})
 	}
 }
--- a/qhspread/network_test.go
+++ b/qhspread/network_test.go
@@ -21,6 +21,9 @@
 	nodes map[qhid.Address]qhid.Node
 	// cut tells whether two nodes are cut off from each other.
 	cut func(a, b qhid.Node) bool
+	// frozen has what stays silent for good, conns all connections.
+	frozen map[net.Conn]bool
+	conns  []net.Conn
 	// lose tells which frames are lost on the way; nil for none.
 	lose func(frame []byte) bool
 }
@@ -41,6 +44,28 @@
 	return w.cut(a, b) || w.cut(b, a)
 }
 
+// freeze makes all connections of now silent for good; new ones work.
+func (w *network) freeze() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.frozen = make(map[net.Conn]bool)
+	for _, conn := range w.conns {
+		w.frozen[conn] = true
+	}
+}
+
+func (w *network) track(conn net.Conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.conns = append(w.conns, conn)
+}
+
+func (w *network) isFrozen(conn net.Conn) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.frozen[conn]
+}
+
 func (w *network) setLose(lose func(frame []byte) bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -78,9 +103,10 @@
 		if err != nil {
 			return nil, err
 		}
+		w.track(conn)
 		return &cutConn{
 			Conn:   conn,
-			silent: func() bool { return w.isCut(from, to) },
+			silent: func() bool { return w.isCut(from, to) || w.isFrozen(conn) },
 			lose:   w.lost,
 			closed: make(chan struct{}),
 			reader: bufio.NewReader(conn),
--- a/qhspread/recovery_test.go
+++ b/qhspread/recovery_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmember"
 	"quetzalhaven.dev/qhplatform"
@@ -108,4 +110,51 @@
 		expectTree(nodes)
 		expectVersion(nodes, f.commit())
 	})
+
+	It("goes on when all its connections go silent while new ones work", func() {
+		nodes := f.start("kigali-a", 7)
+		expectVersion(nodes, 1)
+		expectMembers(nodes)
+		stop := make(chan struct{})
+		var group sync.WaitGroup
+		group.Go(func() {
+			defer GinkgoRecover()
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(5 * time.Millisecond):
+				}
+				for _, n := range nodes {
+					Expect(n.states()).To(HaveEach(qhmember.Up), "as %s sees it", n.id)
+				}
+			}
+		})
+		f.network.freeze()
+		expectVersion(nodes, f.commit())
+		expectNews(nodes, nodes[3], "booking-1")
+		expectTree(nodes)
+		close(stop)
+		group.Wait()
+	})
+
+	It("gets versions from a platform whose watches are silent", func() {
+		nodes := f.start("kigali-a", 3)
+		expectVersion(nodes, 1)
+		f.platform.SetFaults(qhplatform.Faults{Silent: true})
+		for range 2 {
+			expectVersion(nodes, f.commit())
+		}
+	})
+
+	It("keeps its relay and gets versions while the platform is slow", func() {
+		nodes := f.start("kigali-a", 3)
+		expectVersion(nodes, 1)
+		root := f.root("kigali-a")
+		f.platform.SetFaults(qhplatform.Faults{Delay: qhconfig.Duration(300 * time.Millisecond)})
+		for range 3 {
+			expectVersion(nodes, f.commit())
+		}
+		Expect(f.root("kigali-a")).To(Equal(root))
+	})
 })
--- a/qhspread/watch.go
+++ b/qhspread/watch.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qherr"
 	"quetzalhaven.dev/qhhead"
 )
@@ -14,8 +15,9 @@
 	// firstWatchRetry and lastWatchRetry bound the jitter after a failed watch.
 	firstWatchRetry = 250 * time.Millisecond
 	lastWatchRetry  = 5 * time.Second
-	// watchPeriod bounds one watch, so that a silent one is asked again.
-	watchPeriod = 12 * time.Second
+	// watchLeases is how many lease times bound one watch. A read follows it, so
+	// that a watch that went silent hides nothing.
+	watchLeases = 2
 	// loadTimeout bounds the reading of a whole version.
 	loadTimeout = 20 * time.Second
 )
@@ -29,10 +31,7 @@
 			pause(ctx, firstWatchRetry)
 			continue
 		}
-		head, quiet, err := s.watchHead(ctx, seen)
-		if quiet {
-			continue
-		}
+		head, err := s.watchHead(ctx, seen)
 		if err == nil {
 			seen = head
 			err = s.load(ctx, head)
@@ -47,13 +46,18 @@
 	}
 }
 
-// watchHead returns the head once it differs from the one that was seen, or true
-// where the bound of a watch has passed without news.
-func (s *Spreader) watchHead(ctx context.Context, seen qhhead.Head) (qhhead.Head, bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchPeriod)
+// watchHead returns the head once it is newer than the one that was seen, or as
+// it is where the bound of a watch has passed without news.
+func (s *Spreader) watchHead(ctx context.Context, seen qhhead.Head) (qhhead.Head, error) {
+	watched, cancel := context.WithTimeout(ctx, watchLeases*s.lease())
 	defer cancel()
-	head, err := s.Chain.Watch(ctx, seen)
-	return head, err != nil && ctx.Err() != nil, err
+	head, err := s.Chain.Watch(watched, seen)
+	if err == nil || watched.Err() == nil {
+		return head, err
+	}
+	asked, cancelAsked := context.WithTimeout(ctx, platformTimeout)
+	defer cancelAsked()
+	return s.Chain.Read(asked)
 }
 
 // readHead takes the version of the head once.
@@ -81,9 +85,20 @@
 		s.Log.Warn("version cannot be read from the platform", zap.Uint64("version", uint64(head.Version)), zap.Error(err))
 		return err
 	}
-	newer, err := s.content.takeWhole(head.Version, record.Config, config)
+	newer, err := s.takeLoaded(config, record)
 	if newer {
 		s.pokeAll()
 	}
 	return err
 }
+
+// takeLoaded takes a version by its diff where that fits, which costs less than
+// to compare the whole.
+func (s *Spreader) takeLoaded(config qhconfig.Config, record qhhead.Record) (bool, error) {
+	if record.Diff != nil {
+		if newer, err := s.content.takeDiff(*record.Diff); err == nil {
+			return newer, nil
+		}
+	}
+	return s.content.takeWhole(record.Version, record.Config, config)
+}
