qhproxy: Set headers together and watch for silence only where it can come first

Cause: two of the contexts and most of the header writes of a hop were not needed. Change: the headers of a hop share one allocation; closing an answer's body cancels the hop, so the context to another node is the caller's own; the first-byte bound is watched only where the deadline is later.

--- a/qhproxy/headers.go
+++ b/qhproxy/headers.go
@@ -8,6 +8,18 @@
 	"quetzalhaven.dev/qhheader"
 )
 
+// field is one header with one value. Its name is in canonical form.
+type field struct{ name, value string }
+
+// setAll sets headers with one allocation for all.
+func setAll(header http.Header, fields ...field) {
+	values := make([]string, len(fields))
+	for i, f := range fields {
+		values[i] = f.value
+		header[f.name] = values[i : i+1 : i+1]
+	}
+}
+
 // hopHeaders are for one connection only, in canonical form.
 func hopHeaders() []string {
 	return []string{
--- a/qhproxy/nodes.go
+++ b/qhproxy/nodes.go
@@ -34,7 +34,7 @@
 		p.refuse(w, f, d)
 		return
 	}
-	w.Header().Set(qhheader.NodeTook, strconv.FormatInt(a.took.Microseconds(), 10))
+	setAll(w.Header(), field{qhheader.NodeTook, strconv.FormatInt(a.took.Microseconds(), 10)})
 	p.pass(w, a, d)
 }
 
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -165,29 +165,26 @@
 
 // toNode sends the call to the node of the endpoint.
 func (c *call) toNode(ctx context.Context, endpoint *qhmember.Endpoint, h *hop) (*answer, *failure) {
-	h.header.Set(qhheader.NodeFrom, string(c.proxy.Self))
-	h.header.Set(qhheader.NodeTarget, string(endpoint.ID))
-	h.header.Set(qhheader.NodeRoute, string(c.route.Name))
-	h.header.Set(qhheader.NodeVersion, strconv.FormatUint(uint64(c.snapshot.Version), 10))
-	h.header.Set(qhheader.NodeSilence, qhdeadline.Format(h.silence))
-	ctx, cancel := context.WithCancel(ctx)
+	setAll(h.header,
+		field{qhheader.NodeFrom, string(c.proxy.Self)},
+		field{qhheader.NodeTarget, string(endpoint.ID)},
+		field{qhheader.NodeRoute, string(c.route.Name)},
+		field{qhheader.NodeVersion, strconv.FormatUint(uint64(c.snapshot.Version), 10)},
+		field{qhheader.NodeSilence, qhdeadline.Format(h.silence)},
+	)
 	resp, err := c.proxy.peers.RoundTrip(endpoint.Calls, h.request(ctx, endpoint.Calls)) //nolint:bodyclose // pass closes it
 	if err != nil {
-		f := failureOf(ctx, err)
-		cancel()
-		return nil, f
+		return nil, failureOf(ctx, err)
 	}
 	if load, err := strconv.Atoi(resp.Header.Get(qhheader.NodeLoad)); err == nil {
 		qhbalance.Hint(endpoint, load, time.Now())
 	}
 	if outcome := resp.Header.Get(qhheader.Outcome); outcome != "" {
-		f := failureFrom(resp, outcome)
-		cancel()
-		return nil, f
+		return nil, failureFrom(resp, outcome)
 	}
 	took, _ := strconv.ParseInt(resp.Header.Get(qhheader.NodeTook), 10, 64) // 0 where the node says nothing
 	dropMesh(resp.Header)
-	return &answer{Response: resp, release: cancel, took: time.Duration(took) * time.Microsecond}, nil
+	return &answer{Response: resp, release: func() {}, took: time.Duration(took) * time.Microsecond}, nil
 }
 
 // failureFrom reads the failure that another node reported.
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -51,11 +51,10 @@
 		Host:          h.in.Host,
 		Trailer:       h.in.Trailer,
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		h.header.Set(qhheader.Timeout, qhdeadline.Format(time.Until(deadline)))
-	}
+	deadline, _ := ctx.Deadline() // every call has one
+	setAll(h.header, field{qhheader.Timeout, qhdeadline.Format(time.Until(deadline))})
 	if _, ok := h.header["User-Agent"]; !ok {
-		h.header.Set("User-Agent", "") // keeps the client from adding its own
+		h.header["User-Agent"] = nil // keeps the client from adding its own
 	}
 	return out.WithContext(ctx)
 }
@@ -89,22 +88,34 @@
 	if err != nil {
 		return nil, refusedBy(ctx, err)
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	release := func() {
-		cancel(nil)
-		pass.Leave()
-	}
-	timer := time.AfterFunc(h.silence, func() { cancel(qhconn.ErrSilent) })
+	ctx, answered, release := watch(ctx, h.silence)
 	start := time.Now()
 	resp, err := guard.Conns().RoundTrip(h.request(ctx, guard.Announcement().Address)) //nolint:bodyclose // pass closes it
-	timer.Stop()
+	answered()
 	if err != nil {
 		f := failureOf(ctx, err)
 		release()
+		pass.Leave()
 		return nil, f
 	}
 	dropMesh(resp.Header)
-	return &answer{Response: resp, release: release, took: time.Since(start)}, nil
+	return &answer{Response: resp, took: time.Since(start), release: func() {
+		release()
+		pass.Leave()
+	}}, nil
+}
+
+// watch returns a context that ends when no answer began within silence, the
+// function that tells that one began, and the context's clean-up. Where the
+// deadline comes first the context is returned as it is.
+func watch(ctx context.Context, silence time.Duration) (context.Context, func(), func()) {
+	nothing := func() {}
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= silence {
+		return ctx, nothing, nothing
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(silence, func() { cancel(qhconn.ErrSilent) })
+	return ctx, func() { timer.Stop() }, func() { cancel(nil) }
 }
 
 // limits returns what the configuration says of a target's service.
