qhproxy: Call a call not run only where no attempt may have run

Cause: a call of a repeatable route whose first attempt had run and whose second one was refused was answered as not run. Also callers with short deadlines got endpoints ejected, and a pool made a channel for every call. Failed first: the spec with a target that breaks answers off beside one that does not listen was told not run for a call that the target had recorded. Conclusion: found by reading; the spec keeps it.

--- a/qhbalance/balance_test.go
+++ b/qhbalance/balance_test.go
@@ -195,6 +195,16 @@
 	g.Expect(bad.Observed.Failures.Load()).To(BeZero())
 }
 
+func TestShortDeadlinesBlameNobody(t *testing.T) {
+	g := NewWithT(t)
+	e := endpoint(1, "a")
+	g.Expect(Overdue(e, time.Millisecond)).To(BeFalse())
+	g.Expect(Overdue(e, overdueMin)).To(BeTrue())
+	Answer(e, time.Second)
+	g.Expect(Overdue(e, 4*time.Second)).To(BeFalse())
+	g.Expect(Overdue(e, 5*time.Second)).To(BeTrue())
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, services := range []int{33, 330, 3300} {
 		for _, endpoints := range []int{3, 30, 300} {
--- a/qhbalance/observe.go
+++ b/qhbalance/observe.go
@@ -22,6 +22,10 @@
 	// leaveSpan is how long an endpoint that refused as leaving gets no calls; by
 	// then its announcement is known.
 	leaveSpan = 3 * time.Second
+	// overdueMin and overdueTimes say when an answer is overdue: after the time
+	// and after so many times the usual latency.
+	overdueMin   = 200 * time.Millisecond
+	overdueTimes = 5
 	// latencyWeight is the weight of older answers in the moving average.
 	latencyWeight = 7
 	// hintAge is how long a reported load counts; it fades until then.
@@ -64,6 +68,12 @@
 	return span, true
 }
 
+// Overdue tells whether a call that ended at its deadline had waited so long
+// that the endpoint is to blame.
+func Overdue(endpoint *qhmember.Endpoint, waited time.Duration) bool {
+	return waited >= max(overdueMin, overdueTimes*time.Duration(endpoint.Observed.Latency.Load()))
+}
+
 // Leave notes that the endpoint takes no new calls, before its node's
 // announcement says so.
 func Leave(endpoint *qhmember.Endpoint, now time.Time) {
--- a/qhconn/pool.go
+++ b/qhconn/pool.go
@@ -32,7 +32,10 @@
 	limit int
 	// retired closes connections rather than keep them.
 	retired bool
-	// changed is closed and replaced when a connection is put back or closed.
+	// waiting counts those that wait for changed.
+	waiting int
+	// changed is closed and replaced when a connection is put back or closed
+	// while somebody waits.
 	changed chan struct{}
 	// all has every connection, for Close.
 	all map[*conn]struct{}
@@ -118,6 +121,7 @@
 			return p.dial(ctx)
 		}
 		changed := p.changed
+		p.waiting++
 		p.mu.Unlock()
 		select {
 		case <-changed:
@@ -170,8 +174,12 @@
 
 // signal wakes those that wait for a connection. The lock is held.
 func (p *Pool) signal() {
+	if p.waiting == 0 {
+		return
+	}
 	close(p.changed)
 	p.changed = make(chan struct{})
+	p.waiting = 0
 }
 
 // dial makes a connection that was counted before and reserves it.
@@ -183,7 +191,10 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if err != nil || w == nil {
+	if err != nil {
+		if client != nil {
+			_ = client.Close() // it was closed while it was made
+		}
 		p.open--
 		p.signal()
 		return nil, &DialError{Address: p.address, Cause: err}
--- a/qhproxy/call_test.go
+++ b/qhproxy/call_test.go
@@ -13,6 +13,7 @@
 	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qhdecision"
 	"quetzalhaven.dev/qhheader"
+	"quetzalhaven.dev/qhid"
 )
 
 var _ = Describe("a call", func() {
@@ -58,6 +59,28 @@
 		Expect(got.header.Get(qhheader.Reason)).To(Equal("no-route"))
 	})
 
+	It("that may have run is not called not run after another attempt", func() {
+		f.configure([]qhconfig.Route{route("urns", "/urns", "booking", func(r *qhconfig.Route) { r.Repeat = qhconfig.RepeatSafe })})
+		runs := &record{}
+		f.target("t1", "booking", "b1", 9, func(_ http.ResponseWriter, r *http.Request) {
+			runs.add(r)
+			panic(http.ErrAbortHandler)
+		})
+		dead := silent(GinkgoTB())
+		Expect(dead.Close()).To(Succeed())
+		f.announce("t2", "booking", "b1", 9, qhid.Address(dead.Addr().String()))
+		for i := range 30 {
+			id := fmt.Sprint(i)
+			got := do(ctx, f.nodes["a1"], "GET", "/urns", id, nil)
+			want := qhheader.NotRun
+			if runs.of(id) > 0 {
+				want = qhheader.Unknown
+			}
+			Expect(got.header.Get(qhheader.Outcome)).To(Equal(want), id)
+		}
+		Expect(runs.runs).NotTo(BeEmpty())
+	})
+
 	DescribeTable("that breaks off looks broken", func(on qhconfig.Repeat) {
 		f.target("t1", "booking", "b1", 9, func(w http.ResponseWriter, _ *http.Request) {
 			_, _ = w.Write(make([]byte, 100_000))
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -40,6 +40,8 @@
 	tried    qhbalance.Tried
 	// attempt counts from 1.
 	attempt int
+	// unknown is set once an attempt may have run.
+	unknown bool
 }
 
 // serveCaller takes a call of a caller and finds it a target.
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -19,20 +19,31 @@
 )
 
 // send sends the call to a target, and to another one where it may be repeated.
-// Only the caller's own node repeats a call.
+// Only the caller's own node repeats a call. The call is not run only where no
+// attempt may have run.
 func (c *call) send(ctx context.Context) (*answer, *failure) {
+	a, f := c.attempts(ctx)
+	if f != nil && c.unknown {
+		f.Outcome = qhheader.Unknown
+	}
+	return a, f
+}
+
+// attempts returns the first answer or the last failure.
+func (c *call) attempts(ctx context.Context) (*answer, *failure) {
 	budget := c.proxy.budgets.Of(c.service.Name)
 	budget.Deposit()
-	var last *failure
+	last := notRun(qhdecision.NoTarget, http.StatusServiceUnavailable, defaultAfter, "no target of the service takes calls")
 	for c.attempt = 1; ; c.attempt++ {
 		choice, ok := c.proxy.balancer.Choose(c.view, c.service, &c.tried, time.Now())
 		if !ok {
-			return nil, c.noTarget(last)
+			return nil, last
 		}
 		a, f := c.try(ctx, choice)
 		if f == nil {
 			return a, nil
 		}
+		c.unknown = c.unknown || f.Outcome != qhheader.NotRun
 		c.tried.Add(choice.Endpoint)
 		if !c.mayRepeat(ctx, f) || !budget.Withdraw() {
 			return nil, f
@@ -42,15 +53,6 @@
 	}
 }
 
-// noTarget is the failure where no endpoint is left. What an earlier attempt
-// left unknown stays unknown.
-func (c *call) noTarget(last *failure) *failure {
-	if last != nil {
-		return last
-	}
-	return notRun(qhdecision.NoTarget, http.StatusServiceUnavailable, defaultAfter, "no target of the service takes calls")
-}
-
 // mayRepeat tells whether the call may be sent again after the failure: because
 // it has not run, or because its route says that it may run more than once.
 func (c *call) mayRepeat(ctx context.Context, f *failure) bool {
@@ -83,7 +85,7 @@
 	a, f := c.dispatch(ctx, endpoint)
 	if f != nil {
 		observed.InFlight.Add(-1)
-		c.failed(endpoint, f)
+		c.failed(endpoint, f, time.Since(start))
 		return nil, f
 	}
 	c.answered(endpoint, a, time.Since(start))
@@ -120,16 +122,20 @@
 	}
 }
 
-// failed notes a call without an answer. Refusals and callers that left tell
-// nothing against the endpoint.
-func (c *call) failed(endpoint *qhmember.Endpoint, f *failure) {
+// failed notes a call without an answer. Refusals, callers that left and callers
+// that gave it little time tell nothing against the endpoint.
+func (c *call) failed(endpoint *qhmember.Endpoint, f *failure, took time.Duration) {
 	switch f.Reason {
 	case qhdecision.Busy, qhdecision.Late:
 		endpoint.Observed.Refusals.Add(1)
-	case qhdecision.Leaving, qhdecision.NoTarget:
+	case qhdecision.Leaving, qhdecision.NoTarget, qhdecision.GraceOver:
 		endpoint.Observed.Refusals.Add(1)
 		qhbalance.Leave(endpoint, time.Now())
-	case qhdecision.Connect, qhdecision.Connection, qhdecision.Silent, qhdecision.Deadline:
+	case qhdecision.Deadline:
+		if qhbalance.Overdue(endpoint, took) {
+			c.fail(endpoint, f.Detail)
+		}
+	case qhdecision.Connect, qhdecision.Connection, qhdecision.Silent:
 		c.fail(endpoint, f.Detail)
 	}
 }
