--- /dev/null
+++ b/qhctl/qhrollout/suite_test.go
@@ -0,0 +1,11 @@
+package qhrollout_test
+
+import (
+	"testing"
+
+	"quetzalhaven.dev/qhsuite"
+)
+
+func TestSpecs(t *testing.T) {
+	qhsuite.Run(t, "qhrollout")
+}
--- a/qhguard/guard_test.go
+++ b/qhguard/guard_test.go
@@ -16,6 +16,7 @@
 	"quetzalhaven.dev/qhconn"
 	"quetzalhaven.dev/qhdecision"
 	"quetzalhaven.dev/qhmember"
+	_ "quetzalhaven.dev/qhsuite" // fixes rapid's seed
 )
 
 func testGuard(slots int) *Guard {
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -22,37 +22,45 @@
 // Only the caller's own node repeats a call. The call is not run only where no
 // attempt may have run.
 func (c *call) send(ctx context.Context) (*answer, *failure) {
-	a, f := c.attempts(ctx)
-	if f != nil && c.unknown {
-		f.Outcome = qhheader.Unknown
-	}
-	return a, f
-}
-
-// attempts returns the first answer or the last failure.
-func (c *call) attempts(ctx context.Context) (*answer, *failure) {
 	budget := c.proxy.budgets.Of(c.service.Name)
 	budget.Deposit()
-	last := notRun(qhdecision.NoTarget, http.StatusServiceUnavailable, defaultAfter, "no target of the service takes calls")
+	var worst *failure
 	for c.attempt = 1; ; c.attempt++ {
 		choice, ok := c.proxy.balancer.Choose(c.view, c.service, &c.tried, time.Now())
 		if !ok {
-			return nil, last
+			return nil, c.noTarget(worst)
 		}
 		a, f := c.try(ctx, choice)
 		if f == nil {
 			return a, nil
 		}
-		c.unknown = c.unknown || f.Outcome != qhheader.NotRun
 		c.tried.Add(choice.Endpoint)
+		worst = worse(worst, f)
 		if !c.mayRepeat(ctx, f) || !budget.Withdraw() {
-			return nil, f
+			return nil, worst
 		}
-		last = f
 		c.repeated(f, choice.Endpoint)
 	}
 }
 
+// worse returns the failure that a call with two failed attempts has: the later
+// one, but what one attempt left unknown stays unknown. before may be nil.
+func worse(before, f *failure) *failure {
+	if before != nil && before.Outcome == qhheader.Unknown && f.Outcome == qhheader.NotRun {
+		return before
+	}
+	return f
+}
+
+// noTarget is the failure where no endpoint is left. before is that of the
+// attempts so far, or nil.
+func (c *call) noTarget(before *failure) *failure {
+	if before != nil {
+		return before
+	}
+	return notRun(qhdecision.NoTarget, http.StatusServiceUnavailable, defaultAfter, "no target of the service takes calls")
+}
+
 // mayRepeat tells whether the call may be sent again after the failure: because
 // it has not run, or because its route says that it may run more than once.
 func (c *call) mayRepeat(ctx context.Context, f *failure) bool {
