qhproxy: Count answers that break off against their endpoint

Cause: a target that breaks every answer off after its headers counted as well, and answers that the caller did not take were kept as broken by the target. Change: the two sides are told apart; only the target's counts for ejection. The package comment leads through the files. A benchmark for a service whose targets fail in part. Failed first: the spec for broken answers, with the count of failures added, is new with the change; it was not run against the old code.

--- a/qhproxy/answer.go
+++ b/qhproxy/answer.go
@@ -1,6 +1,8 @@
 package qhproxy
 
 import (
+	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
@@ -36,14 +38,34 @@
 	maps.Copy(header, a.Header)
 	w.WriteHeader(a.StatusCode)
 	if err := p.copyBody(w, a); err != nil {
-		d.Kind, d.Reason, d.Detail = qhdecision.Broken, qhdecision.BrokeOff, err.Error()
-		p.decide(d)
-		p.counts.broken.Inc()
+		p.broken(a, d, err)
 		panic(http.ErrAbortHandler)
 	}
 	copyTrailers(header, a.Trailer, announced)
 }
 
+// writeError is an answer that the caller did not take.
+type writeError struct{ cause error }
+
+// Error returns the cause.
+func (e *writeError) Error() string { return fmt.Sprintf("the caller is gone: %v", e.cause) }
+
+// Unwrap returns the cause.
+func (e *writeError) Unwrap() error { return e.cause }
+
+// broken notes an answer that broke off, and on which side.
+func (p *Proxy) broken(a *answer, d qhdecision.Decision, err error) {
+	var left *writeError
+	d.Kind, d.Reason, d.Detail = qhdecision.Broken, qhdecision.BrokeOff, err.Error()
+	if errors.As(err, &left) {
+		d.Reason = qhdecision.Gone
+	} else if a.brokeOff != nil {
+		a.brokeOff(err)
+	}
+	p.decide(d)
+	p.counts.broken.Inc()
+}
+
 // copyBody copies the body. What has no known length is flushed as it comes.
 func (p *Proxy) copyBody(w http.ResponseWriter, a *answer) error {
 	flusher := http.NewResponseController(w)
@@ -52,13 +74,13 @@
 	for {
 		if a.ContentLength < 0 { // the headers first, then each part
 			if err := flusher.Flush(); err != nil {
-				return err
+				return &writeError{cause: err}
 			}
 		}
 		n, err := a.Body.Read(buffer[:])
 		if n > 0 {
 			if _, failed := w.Write(buffer[:n]); failed != nil {
-				return failed
+				return &writeError{cause: failed}
 			}
 		}
 		if err == io.EOF {
--- a/qhproxy/call_test.go
+++ b/qhproxy/call_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -88,8 +89,12 @@
 			panic(http.ErrAbortHandler)
 		})
 		for _, n := range []*node{f.nodes["a1"], f.nodes["b1"]} {
-			got := do(ctx, n, "GET", "/urns", "r1", nil)
-			Expect(got.err).To(HaveOccurred())
+			for range 5 {
+				got := do(ctx, n, "GET", "/urns", "r1", nil)
+				Expect(got.err).To(HaveOccurred())
+			}
 		}
+		failures := f.view.Load().Services["booking"][0].Observed.Failures.Load
+		Eventually(failures).WithTimeout(20 * time.Second).Should(BeNumerically(">", 0))
 	}, Entry("", qhconfig.RepeatNever))
 })
--- a/qhproxy/depth_test.go
+++ b/qhproxy/depth_test.go
@@ -97,6 +97,34 @@
 	})
 })
 
+// BenchmarkTargets measures the work that repeats add, and the calls that are
+// answered, when a part of a service's ten targets break every call off.
+func BenchmarkTargets(b *testing.B) {
+	for _, failing := range []int{1, 5, 10} {
+		for _, budget := range []qhid.Percent{0, 10, 20, 100} {
+			b.Run(fmt.Sprintf("failing=%d/budget=%d", failing, budget), func(b *testing.B) {
+				f := newFleet(b, route("s1", "/s1", "s1", func(r *qhconfig.Route) { r.Repeat = qhconfig.RepeatSafe }))
+				f.settings.Budget = budget
+				f.node("a", "kigali-a")
+				f.node("b", "kigali-a")
+				var runs atomic.Int64
+				for i := range 10 {
+					f.target(qhid.Target(fmt.Sprint("t", i)), "s1", []qhid.Node{"a", "b"}[i%2], 100, func(http.ResponseWriter, *http.Request) {
+						runs.Add(1)
+						if i < failing {
+							panic(http.ErrAbortHandler)
+						}
+					})
+				}
+				b.ResetTimer()
+				answered := f.run(b.N)
+				b.ReportMetric(float64(runs.Load())/float64(b.N), "runs/call")
+				b.ReportMetric(100*float64(answered)/float64(b.N), "answered-percent")
+			})
+		}
+	}
+}
+
 // BenchmarkChain measures the work that repeats add when a part of the calls to
 // the last of eight services fails. A budget of 100 in 100 is the naive way,
 // which repeats each failed call once.
--- a/qhproxy/proxy.go
+++ b/qhproxy/proxy.go
@@ -1,5 +1,14 @@
 // Package qhproxy carries calls: from a caller to the node on the VM of a
 // target, and from there to the target.
+//
+// A call of a caller (callers.go) is checked, matched to a route and a service,
+// and its key claimed where it has one (keyed.go). It is then sent to an
+// endpoint, and to another one where it may be repeated (send.go). The endpoint's
+// node (nodes.go) waits for a slot of the target and sends the call to it
+// (target.go); where that node is the caller's own, the hop between nodes is left
+// out. The answer is passed on as it comes (answer.go). A call that gets no
+// answer of a target is a failure (failure.go), which the mesh answers itself
+// (refuse.go): as not run only where no byte of it was given to a target.
 package qhproxy
 
 import (
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -97,6 +97,11 @@
 		return nil, f
 	}
 	c.answered(endpoint, a, time.Since(start))
+	a.brokeOff = func(err error) {
+		if ctx.Err() == nil { // else the call's own deadline ended it
+			c.fail(endpoint, err.Error())
+		}
+	}
 	release := a.release
 	a.release = func() {
 		observed.InFlight.Add(-1)
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -29,6 +29,8 @@
 	*http.Response
 	// release has to be called once, after the body was read or given up.
 	release func()
+	// brokeOff is called where the answer breaks off before its end; it may be nil.
+	brokeOff func(error)
 	// took is how long the target took until its answer began.
 	took time.Duration
 }
