--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -29,6 +29,8 @@
 	*http.Response
 	// release has to be called once, after the body was read or given up.
 	release func()
+	// brokeOff is called where the answer breaks off before its end; it may be nil.
+	brokeOff func(error)
 	// took is how long the target took until its answer began.
 	took time.Duration
 }
@@ -51,11 +53,10 @@
 		Host:          h.in.Host,
 		Trailer:       h.in.Trailer,
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		h.header.Set(qhheader.Timeout, qhdeadline.Format(time.Until(deadline)))
-	}
+	deadline, _ := ctx.Deadline() // every call has one
+	setAll(h.header, field{qhheader.Timeout, qhdeadline.Format(time.Until(deadline))})
 	if _, ok := h.header["User-Agent"]; !ok {
-		h.header.Set("User-Agent", "") // keeps the client from adding its own
+		h.header["User-Agent"] = nil // keeps the client from adding its own
 	}
 	return out.WithContext(ctx)
 }
@@ -87,24 +88,36 @@
 	}
 	pass, err := guard.Enter(ctx, p.limits(guard))
 	if err != nil {
-		return nil, refusedBy(err)
-	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	release := func() {
-		cancel(nil)
-		pass.Leave()
+		return nil, refusedBy(ctx, err)
 	}
-	timer := time.AfterFunc(h.silence, func() { cancel(qhconn.ErrSilent) })
+	ctx, answered, release := watch(ctx, h.silence)
 	start := time.Now()
 	resp, err := guard.Conns().RoundTrip(h.request(ctx, guard.Announcement().Address)) //nolint:bodyclose // pass closes it
-	timer.Stop()
+	answered()
 	if err != nil {
 		f := failureOf(ctx, err)
 		release()
+		pass.Leave()
 		return nil, f
 	}
 	dropMesh(resp.Header)
-	return &answer{Response: resp, release: release, took: time.Since(start)}, nil
+	return &answer{Response: resp, took: time.Since(start), release: func() {
+		release()
+		pass.Leave()
+	}}, nil
+}
+
+// watch returns a context that ends when no answer began within silence, the
+// function that tells that one began, and the context's clean-up. Where the
+// deadline comes first the context is returned as it is.
+func watch(ctx context.Context, silence time.Duration) (context.Context, func(), func()) {
+	nothing := func() {}
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= silence {
+		return ctx, nothing, nothing
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(silence, func() { cancel(qhconn.ErrSilent) })
+	return ctx, func() { timer.Stop() }, func() { cancel(nil) }
 }
 
 // limits returns what the configuration says of a target's service.
--- a/qhretry/budget_test.go
+++ b/qhretry/budget_test.go
@@ -6,6 +6,7 @@
 	"pgregory.net/rapid"
 
 	"quetzalhaven.dev/qhid"
+	_ "quetzalhaven.dev/qhsuite" // fixes rapid's seed
 )
 
 // TestBudgetBoundsRepeats draws attempts and repeats and checks that the
