qhplan: Keep plans that are larger than a value of the platform

Cause: a plan holds its difference and a line for each entry, so that one over some 2,500 services was refused with the remedy to split the intents, and a return to an old version can not be split. Change: such a plan is kept as a zstd frame, told from JSON by its first bytes; small ones stay readable. A configuration is bounded by its bytes as well as by its entries, since 60,000 routes of 64 shares would pass the counts and not fit a node. Failed first: the test of a plan of 5,000 services and the return from it, with "the plan is too large". Ruled out: leaving the lines out of large plans, which are the ones that an operator has to look at most.

--- a/qhconfig/check.go
+++ b/qhconfig/check.go
@@ -46,6 +46,7 @@
 	check := &checker{services: make(map[qhid.Service]bool, len(c.Services))}
 	check.count("services", len(c.Services), MaxServices)
 	check.count("routes", len(c.Routes), MaxRoutes)
+	check.count("bytes", int(c.size()), int(MaxSize))
 	if len(check.problems) > 0 {
 		return check.problems
 	}
--- a/qhconfig/check_test.go
+++ b/qhconfig/check_test.go
@@ -47,6 +47,12 @@
 	{"bad name", func(c *qhconfig.Config) { c.Services[0].Name = "-urn/" }},
 	{"retired twice", func(c *qhconfig.Config) { c.Services[0].Retired = []qhid.Target{"a1", "a1"} }},
 	{"too many services", func(c *qhconfig.Config) { c.Services = make([]qhconfig.Service, qhconfig.MaxServices+1) }},
+	{"too many bytes", func(c *qhconfig.Config) {
+		c.Routes = make([]qhconfig.Route, 17_000)
+		for i := range c.Routes {
+			c.Routes[i].Prefix = strings.Repeat("/urns", 200)
+		}
+	}},
 	{"several problems", func(c *qhconfig.Config) { c.Routes[0].Prefix = ""; c.Routes[1].Repeat = "often" }},
 }
 
--- a/qhconfig/diff.go
+++ b/qhconfig/diff.go
@@ -83,7 +83,8 @@
 }
 
 // Merge returns base with the diff's changes, whatever its digest. base is not
-// changed.
+// changed. The two share what stayed the same, so that neither may be changed
+// afterwards.
 func (d Diff) Merge(base Config) Config {
 	return Config{
 		Services: merge(base.Services, d.Services, d.NoServices, func(s *Service) qhid.Service { return s.Name }),
--- a/qhconfig/limit.go
+++ b/qhconfig/limit.go
@@ -24,6 +24,9 @@
 	MaxTimeout = Duration(time.Hour)
 	// MaxBody bounds the body of a route's requests.
 	MaxBody qhid.Bytes = 1 << 30
+	// MaxSize bounds all names and paths together with an allowance for each
+	// entry. It keeps two versions well within the memory of a node.
+	MaxSize qhid.Bytes = 16 << 20
 	// WholeShare is what the shares of a route add up to.
 	WholeShare qhid.Percent = 100
 )
--- a/qhplan/confirm.go
+++ b/qhplan/confirm.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 
 	"quetzalhaven.dev/qhconfig"
@@ -172,7 +171,7 @@
 		return
 	}
 	plan.Done = &Done{Version: head.Version, Record: head.Record}
-	data, err := json.Marshal(plan)
+	data, err := encode(plan)
 	if err != nil {
 		return
 	}
--- a/qhplan/explain.go
+++ b/qhplan/explain.go
@@ -188,7 +188,7 @@
 	}
 	plans := make([]Plan, 0, len(objects))
 	for _, object := range objects {
-		plan, err := qhconfig.Decode[Plan](object.Value)
+		plan, err := decode(object.Value)
 		if err != nil {
 			return nil, qherr.New(qherr.Internal, err, "delete it on the platform", "%s can't be read", object.Key)
 		}
--- a/qhplan/plan_test.go
+++ b/qhplan/plan_test.go
@@ -15,6 +15,7 @@
 	"quetzalhaven.dev/qhintent"
 	"quetzalhaven.dev/qhplan"
 	"quetzalhaven.dev/qhplatform"
+	"quetzalhaven.dev/qhsample"
 )
 
 // The intents of the tests.
@@ -55,6 +56,25 @@
 		Expect(qherr.KindOf(err)).To(Equal(qherr.Refused))
 	})
 
+	It("is kept where it is larger than a value of the platform, as a return can be", func(ctx SpecContext) {
+		f := newFixture(nil)
+		f.open(ctx)
+		many := qhintent.File{Reason: "all at once"}
+		for _, service := range qhsample.Sized(5000).Services {
+			many.Intents = append(many.Intents, qhintent.Intent{Do: qhintent.Add, Service: service.Name, Slots: &service.Slots, Queue: &service.Queue})
+		}
+		plan, err := f.Plan(ctx, "amara", many)
+		Expect(err).NotTo(HaveOccurred())
+		encoded, err := json.Marshal(plan)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(encoded)).To(BeNumerically(">", qhplatform.MaxValue))
+		Expect(f.Confirm(ctx, plan.ID, "amara")).To(HaveField("Version", qhid.Version(2)))
+		back, err := f.Plan(ctx, "amara", qhintent.NewBack(1, "too many"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(f.Confirm(ctx, back.ID, "amara")).To(HaveField("Version", qhid.Version(3)))
+		Expect(f.ExplainVersion(ctx, 2)).To(HaveField("Plan.Lines", HaveLen(5000)))
+	})
+
 	It("is kept where the answer to the write is lost", func(ctx SpecContext) {
 		f := newFixture(nil)
 		f.memory.SetFaults(qhplatform.Faults{Lost: 1, Prefix: "plan/"})
--- a/qhplan/planner.go
+++ b/qhplan/planner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"quetzalhaven.dev/qhconfig"
@@ -112,7 +111,7 @@
 
 // keep writes the plan. An answer that is lost is settled by looking.
 func (p *Planner) keep(ctx context.Context, plan Plan) error {
-	data, err := json.Marshal(plan)
+	data, err := encode(plan)
 	if err != nil {
 		return err
 	}
@@ -152,7 +151,7 @@
 	if err != nil {
 		return Plan{}, 0, err
 	}
-	plan, err := qhconfig.Decode[Plan](object.Value)
+	plan, err := decode(object.Value)
 	if err != nil {
 		return Plan{}, 0, qherr.New(qherr.Internal, err, "make the plan anew", "plan %s on the platform can't be read", id)
 	}
