--- a/qhplan/plan_test.go
+++ b/qhplan/plan_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -14,6 +15,7 @@
 	"quetzalhaven.dev/qhintent"
 	"quetzalhaven.dev/qhplan"
 	"quetzalhaven.dev/qhplatform"
+	"quetzalhaven.dev/qhsample"
 )
 
 // The intents of the tests.
@@ -54,6 +56,25 @@
 		Expect(qherr.KindOf(err)).To(Equal(qherr.Refused))
 	})
 
+	It("is kept where it is larger than a value of the platform, as a return can be", func(ctx SpecContext) {
+		f := newFixture(nil)
+		f.open(ctx)
+		many := qhintent.File{Reason: "all at once"}
+		for _, service := range qhsample.Sized(5000).Services {
+			many.Intents = append(many.Intents, qhintent.Intent{Do: qhintent.Add, Service: service.Name, Slots: &service.Slots, Queue: &service.Queue})
+		}
+		plan, err := f.Plan(ctx, "amara", many)
+		Expect(err).NotTo(HaveOccurred())
+		encoded, err := json.Marshal(plan)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(encoded)).To(BeNumerically(">", qhplatform.MaxValue))
+		Expect(f.Confirm(ctx, plan.ID, "amara")).To(HaveField("Version", qhid.Version(2)))
+		back, err := f.Plan(ctx, "amara", qhintent.NewBack(1, "too many"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(f.Confirm(ctx, back.ID, "amara")).To(HaveField("Version", qhid.Version(3)))
+		Expect(f.ExplainVersion(ctx, 2)).To(HaveField("Plan.Lines", HaveLen(5000)))
+	})
+
 	It("is kept where the answer to the write is lost", func(ctx SpecContext) {
 		f := newFixture(nil)
 		f.memory.SetFaults(qhplatform.Faults{Lost: 1, Prefix: "plan/"})
@@ -88,6 +109,18 @@
 		Expect(f.Confirm(ctx, plan.ID, "amara")).To(And(HaveField("Version", qhid.Version(2)), HaveField("Before", true)))
 	})
 
+	It("does not say that a plan has no effect where it is too far behind to tell", func(ctx SpecContext) {
+		plan := f.plan(ctx, "fewer", slots)
+		f.confirmWithoutNote(ctx, plan)
+		for i := range 256 {
+			Expect(f.Confirm(ctx, f.plan(ctx, "desk", fmt.Sprintf(`{"do": "limit", "service": "desk", "slots": %d}`, i+1)).ID, "amara")).NotTo(BeNil())
+		}
+		_, err := f.Confirm(ctx, plan.ID, "amara")
+		Expect(qherr.KindOf(err)).To(Equal(qherr.Conflict))
+		Expect(err).To(MatchError(ContainSubstring("too far to tell whether the plan took effect before")))
+		Expect(f.ExplainPlan(ctx, plan.ID)).To(HaveField("Version", qhid.Version(2)))
+	})
+
 	It("is settled where the answer to the head's write is lost", func(ctx SpecContext) {
 		plan := f.plan(ctx, "fewer", slots)
 		f.memory.SetFaults(qhplatform.Faults{Lost: 1, Prefix: "head"})
@@ -199,28 +232,28 @@
 }
 
 var _ = Describe("Explain", func() {
-	It("tells the story of a version and the fate of a plan", func(ctx SpecContext) {
+	It("tells how a version came to be and what became of a plan", func(ctx SpecContext) {
 		f := newFixture(nil)
 		f.open(ctx)
 		first, late, lost := f.plan(ctx, "fewer", slots), f.plan(ctx, "desk", desk), f.plan(ctx, "more", `{"do": "limit", "service": "booking", "slots": 20}`)
 		Expect(f.Confirm(ctx, first.ID, "amara")).To(HaveField("Version", qhid.Version(2)))
 		Expect(f.Confirm(ctx, late.ID, "bento")).To(HaveField("Version", qhid.Version(3)))
 
-		story, err := f.ExplainVersion(ctx, 3)
+		explanation, err := f.ExplainVersion(ctx, 3)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(story.Over).To(Equal([]qhid.Version{2}))
-		text, err := json.MarshalIndent(story, "", "  ")
+		Expect(explanation.Over).To(Equal([]qhid.Version{2}))
+		text, err := json.MarshalIndent(explanation, "", "  ")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(string(text)).To(qhgolden.Match("testdata/story.golden"))
+		Expect(string(text)).To(qhgolden.Match("testdata/explanation.golden"))
 
-		fate, err := f.ExplainPlan(ctx, lost.ID)
+		refused, err := f.ExplainPlan(ctx, lost.ID)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(fate.State).To(Equal(qhplan.Refused))
-		Expect(fate.Why).To(ContainSubstring(`both touch service "booking"`))
-		Expect(fate.Rivals).To(HaveLen(2))
-		Expect(f.ExplainPlan(ctx, late.ID)).To(And(HaveField("State", qhplan.InEffect), HaveField("Version", qhid.Version(3))))
+		Expect(refused.State).To(Equal(qhplan.StateRefused))
+		Expect(refused.Why).To(ContainSubstring(`both touch service "booking"`))
+		Expect(refused.Concurrent).To(HaveLen(2))
+		Expect(f.ExplainPlan(ctx, late.ID)).To(And(HaveField("State", qhplan.StateInEffect), HaveField("Version", qhid.Version(3))))
 		open := f.plan(ctx, "orders", orders)
-		Expect(f.ExplainPlan(ctx, open.ID)).To(HaveField("State", qhplan.Open))
+		Expect(f.ExplainPlan(ctx, open.ID)).To(HaveField("State", qhplan.StateOpen))
 		_, err = f.ExplainVersion(ctx, 4)
 		Expect(qherr.KindOf(err)).To(Equal(qherr.NotFound))
 	})
