--- a/examples/demo/main.go
+++ b/examples/demo/main.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -74,8 +75,20 @@
 	defer stop()
 	d := &demo{site: site, out: os.Stdout}
 	if err := d.run(ctx); err != nil {
-		return err
+		return explain(ctx, err)
 	}
 	d.say("All was done. The processes end now.")
 	return nil
 }
+
+// explain names the end of the context, which other errors follow from.
+func explain(ctx context.Context, err error) error {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return qherr.New(qherr.Internal, nil, "all processes were ended", "interrupted")
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return qherr.New(qherr.Internal, err, "see whether the machine is busy", "not done within %s", patience)
+	default:
+		return err
+	}
+}
