examples: Say what the columns of a measurement are

Cause: the table did not tell where convergence time starts and what the bytes leave out. Change: a preface tells both. A method of the site that nothing used is gone. Conclusion: no figure changes.

--- a/examples/measure/main.go
+++ b/examples/measure/main.go
@@ -21,6 +21,15 @@
 // patience bounds the measurement of one fleet.
 const patience = 5 * time.Minute
 
+// preface tells what the columns are.
+const preface = `Settings of %s, %d changes, %s without a change, all on one machine.
+Convergence time is from the start of qhctl confirm to when a node has the
+version in force, over all nodes and changes. Bytes are what a node sent to
+other nodes; those of a change leave out what the same time without a change
+takes. Processor and memory are those of one node process.
+
+`
+
 // options are the flags.
 type options struct {
 	bin, deployment string
@@ -64,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("Settings of %s, %d changes, %s without a change, all on one machine.\n\n", deployment.Name, opts.changes, opts.idle)
+	fmt.Printf(preface, deployment.Name, opts.changes, opts.idle)
 	var results []result
 	for _, size := range opts.sizes {
 		fmt.Fprintf(os.Stderr, "measuring %d nodes\n", size)
--- a/qhsite/site.go
+++ b/qhsite/site.go
@@ -9,7 +9,6 @@
 
 	"quetzalhaven.dev/qherr"
 	"quetzalhaven.dev/qhgroup"
-	"quetzalhaven.dev/qhid"
 )
 
 const (
@@ -191,13 +190,3 @@
 		}
 	}
 }
-
-// Node returns the node with the id, or nil.
-func (s *Site) Node(id qhid.Node) *Node {
-	for _, node := range s.Nodes {
-		if node.Settings.ID == id {
-			return node
-		}
-	}
-	return nil
-}
