qhsite: Put the forwarder of qhforward behind the gates

Cause: the gates held back and silenced bytes by code of their own, which qhforward has as well. Ruled out: one forwarder a listener, since it can't tell the availability zones of its connections apart. Change: a gate finds out where a connection comes from and sends it through the forwarder of that way. Cut, Heal and Silence act on those.

--- a/qhsite/cuts.go
+++ b/qhsite/cuts.go
@@ -5,81 +5,68 @@
 	"net/netip"
 	"sync"
 
+	"quetzalhaven.dev/qhforward"
+	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhid"
 )
 
 // PlatformZone stands for the platform in Cut, Heal and Silence.
 const PlatformZone qhid.Zone = "platform"
 
-// link is the way between two availability zones, in either direction.
-type link struct{ from, to qhid.Zone }
+// way is the way between two availability zones, in either direction.
+type way struct{ from, to qhid.Zone }
 
-func linkOf(a, b qhid.Zone) link { return link{from: min(a, b), to: max(a, b)} }
+func wayOf(a, b qhid.Zone) way { return way{from: min(a, b), to: max(a, b)} }
 
-// cuts knows which ways between availability zones pass bytes.
+// cuts has the forwarders between the processes of a site.
 type cuts struct {
+	group *qhgroup.Group
+
 	mu sync.Mutex
-	// stopped has the ways that pass no bytes.
-	stopped map[link]bool
-	// changed is closed and replaced by every change of stopped.
-	changed chan struct{}
+	// ways has the forwarders of each way, in both directions.
+	ways map[way][]*qhforward.Forwarder
 	// zones has the availability zone of every process, by its id.
 	zones map[int]qhid.Zone
-	open  map[*passage]bool
 }
 
-func newCuts() *cuts {
-	return &cuts{
-		stopped: make(map[link]bool),
-		changed: make(chan struct{}),
-		zones:   make(map[int]qhid.Zone),
-		open:    make(map[*passage]bool),
-	}
+func newCuts(group *qhgroup.Group) *cuts {
+	return &cuts{group: group, ways: make(map[way][]*qhforward.Forwarder), zones: make(map[int]qhid.Zone)}
 }
 
 // Cut stops all bytes between two availability zones, or between one and the
-// platform, on connections of old and new. Nothing is closed.
-func (s *Site) Cut(a, b qhid.Zone) { s.cuts.set(a, b, true) }
+// platform, on open and new connections. Nothing is closed.
+func (s *Site) Cut(a, b qhid.Zone) { s.cuts.each(a, b, (*qhforward.Forwarder).Pause) }
 
 // Heal lets bytes pass again. Those held back follow.
-func (s *Site) Heal(a, b qhid.Zone) { s.cuts.set(a, b, false) }
+func (s *Site) Heal(a, b qhid.Zone) { s.cuts.each(a, b, (*qhforward.Forwarder).Resume) }
 
 // Silence stops all bytes for good on the connections that are open between
 // two availability zones. New ones work.
-func (s *Site) Silence(a, b qhid.Zone) {
-	s.cuts.mu.Lock()
-	defer s.cuts.mu.Unlock()
-	for passage := range s.cuts.open {
-		if passage.link == linkOf(a, b) {
-			passage.silence()
-		}
-	}
-}
+func (s *Site) Silence(a, b qhid.Zone) { s.cuts.each(a, b, (*qhforward.Forwarder).Silence) }
 
-func (c *cuts) set(a, b qhid.Zone, stop bool) {
+func (c *cuts) each(a, b qhid.Zone, do func(*qhforward.Forwarder)) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.stopped[linkOf(a, b)] = stop
-	close(c.changed)
-	c.changed = make(chan struct{})
+	for _, forwarder := range c.ways[wayOf(a, b)] {
+		do(forwarder)
+	}
 }
 
-// wait returns once the way passes bytes, or the error of a context that ends
-// before.
-func (c *cuts) wait(ctx context.Context, way link) error {
-	for {
-		c.mu.Lock()
-		stopped, changed := c.stopped[way], c.changed
-		c.mu.Unlock()
-		if !stopped {
-			return ctx.Err()
-		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-changed:
-		}
+// forward starts a forwarder of the way to an address. It stands until the
+// group ends.
+func (c *cuts) forward(ctx context.Context, way way, to qhid.Address) (qhid.Address, error) {
+	forwarder, stop, err := qhforward.New(ctx, to)
+	if err != nil {
+		return "", err
 	}
+	c.group.Go(func(ctx context.Context) {
+		<-ctx.Done()
+		stop()
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ways[way] = append(c.ways[way], forwarder)
+	return forwarder.Address(), nil
 }
 
 // started notes the availability zone of a process.
@@ -106,15 +93,3 @@
 	defer c.mu.Unlock()
 	return c.zones[id]
 }
-
-func (c *cuts) opened(passage *passage) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.open[passage] = true
-}
-
-func (c *cuts) closed(passage *passage) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.open, passage)
-}
--- a/qhsite/gate.go
+++ b/qhsite/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 
@@ -9,108 +10,73 @@
 	"quetzalhaven.dev/qhid"
 )
 
-// chunk is the most that a gate passes on at a time.
-const chunk qhid.Bytes = 32 << 10
-
-// gate stands before a listener of the zone and passes connections on to it,
-// as far as the cuts allow.
+// gate stands before a listener and sends each connection through the forwarder
+// of the availability zone that it comes from.
 type gate struct {
-	cuts     *cuts
-	zone     qhid.Zone
-	upstream qhid.Address
-	group    *qhgroup.Group
+	cuts *cuts
+	// forwarders has an address for each availability zone. The empty one is
+	// the listener itself, for connections of no node.
+	forwarders map[qhid.Zone]qhid.Address
 }
 
-// startGate starts a gate on a free port of host and returns its address. It
-// stands until the group ends.
-func startGate(ctx context.Context, gate gate, host string) (qhid.Address, error) {
+// startGate starts a gate to a listener of the zone, on a free port of host,
+// and returns its address. It stands until the group of the cuts ends.
+func (c *cuts) startGate(ctx context.Context, host string, zone qhid.Zone, to qhid.Address, sources []qhid.Zone) (qhid.Address, error) {
+	gate := &gate{cuts: c, forwarders: map[qhid.Zone]qhid.Address{"": to}}
+	for _, source := range sources {
+		var err error
+		if gate.forwarders[source], err = c.forward(ctx, wayOf(source, zone), to); err != nil {
+			return "", err
+		}
+	}
 	listener, err := listen(ctx, host)
 	if err != nil {
 		return "", err
 	}
-	gate.group.Go(func(ctx context.Context) {
+	c.group.Go(func(ctx context.Context) {
 		<-ctx.Done()
 		_ = listener.Close() // the gate ends
 	})
-	gate.group.Go(func(context.Context) {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			gate.group.Go(func(ctx context.Context) { gate.serve(ctx, conn) })
-		}
-	})
+	c.group.Go(func(context.Context) { gate.accept(listener) })
 	return qhid.Address(listener.Addr().String()), nil
 }
 
+func (g *gate) accept(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		g.cuts.group.Go(func(ctx context.Context) { g.serve(ctx, conn) })
+	}
+}
+
 func (g *gate) serve(ctx context.Context, caller net.Conn) {
 	from := netip.MustParseAddrPort(caller.RemoteAddr().String())
 	to := netip.MustParseAddrPort(caller.LocalAddr().String())
 	var dialer net.Dialer
-	listener, err := dialer.DialContext(ctx, "tcp", string(g.upstream))
+	forwarder, err := dialer.DialContext(ctx, "tcp", string(g.forwarders[g.cuts.zoneOf(from, to)]))
 	if err != nil {
 		_ = caller.Close() // as if nothing listened
 		return
 	}
-	passage := newPassage(ctx, g.cuts, linkOf(g.cuts.zoneOf(from, to), g.zone))
-	g.cuts.opened(passage)
-	defer g.cuts.closed(passage)
-	passage.run(ctx, caller, listener)
-}
-
-// passage is one connection through a gate.
-type passage struct {
-	cuts *cuts
-	link link
-	// silent ends once bytes are stopped for good.
-	silent  context.Context //nolint:containedctx // it is the passage's state
-	silence func()
+	splice(ctx, caller, forwarder)
 }
 
-func newPassage(ctx context.Context, cuts *cuts, way link) *passage {
-	silent, silence := context.WithCancel(ctx)
-	return &passage{cuts: cuts, link: way, silent: silent, silence: silence}
-}
-
-// run passes bytes in both directions until both ends are closed.
-func (p *passage) run(ctx context.Context, caller, listener net.Conn) {
-	defer p.silence()
+// splice passes bytes both ways until one end closes or the context ends, and
+// closes both.
+func splice(ctx context.Context, a, b net.Conn) {
 	group, stop := qhgroup.New(ctx)
 	defer stop()
-	ended := make(chan struct{}, 2)
-	for _, pair := range [][2]net.Conn{{caller, listener}, {listener, caller}} {
-		group.Go(func(ctx context.Context) {
-			p.copy(ctx, pair[0], pair[1])
-			_ = pair[1].Close() // the other end sees that this one has gone
-			ended <- struct{}{}
+	ended, end := context.WithCancel(ctx)
+	defer end()
+	for _, pair := range [][2]net.Conn{{a, b}, {b, a}} {
+		group.Go(func(context.Context) {
+			_, _ = io.Copy(pair[1], pair[0]) // the other end sees it closed
+			end()
 		})
 	}
-	for range cap(ended) {
-		select {
-		case <-ctx.Done():
-		case <-ended:
-		}
-	}
-	_ = caller.Close()   // the copies end
-	_ = listener.Close() // the copies end
-}
-
-// copy passes bytes on. While the way is stopped it holds back bytes, and also
-// the end of the connection.
-func (p *passage) copy(ctx context.Context, from, to net.Conn) {
-	buf := make([]byte, chunk)
-	for {
-		n, err := from.Read(buf)
-		if p.cuts.wait(ctx, p.link) != nil {
-			return
-		}
-		if p.silent.Err() != nil {
-			<-ctx.Done()
-			return
-		}
-		if _, failed := to.Write(buf[:n]); failed != nil || err != nil {
-			return
-		}
-	}
+	<-ended.Done()
+	_ = a.Close() // the copies end
+	_ = b.Close() // the copies end
 }
--- a/qhsite/node.go
+++ b/qhsite/node.go
@@ -70,14 +70,13 @@
 
 // addGates puts gates before what other nodes dial.
 func (s *Site) addGates(ctx context.Context, settings *qhsetting.Node, host string) error {
-	gate := gate{cuts: s.cuts, zone: settings.Zone, group: s.group}
+	zones := s.Deployment.Zones
 	var err error
-	gate.upstream = settings.Listen.Peers
-	if settings.Announce.Peers, err = startGate(ctx, gate, host); err != nil {
+	settings.Announce.Peers, err = s.cuts.startGate(ctx, host, settings.Zone, settings.Listen.Peers, zones)
+	if err != nil {
 		return err
 	}
-	gate.upstream = settings.Listen.Calls
-	settings.Announce.Calls, err = startGate(ctx, gate, host)
+	settings.Announce.Calls, err = s.cuts.startGate(ctx, host, settings.Zone, settings.Listen.Calls, zones)
 	return err
 }
 
--- a/qhsite/site.go
+++ b/qhsite/site.go
@@ -99,7 +99,7 @@
 
 func (s *Site) start(ctx context.Context) error {
 	if s.Cuttable {
-		s.cuts = newCuts()
+		s.cuts = newCuts(s.group)
 	}
 	if err := s.startPlatform(ctx); err != nil {
 		return err
@@ -135,7 +135,7 @@
 	if s.cuts == nil {
 		return nil
 	}
-	address, err = startGate(ctx, gate{cuts: s.cuts, zone: PlatformZone, upstream: address, group: s.group}, "127.0.0.1")
+	address, err = s.cuts.startGate(ctx, "127.0.0.1", PlatformZone, address, s.Deployment.Zones)
 	s.nodesPlatform = "http://" + string(address)
 	return err
 }
