--- a/qhsite/site.go
+++ b/qhsite/site.go
@@ -18,6 +18,8 @@
 	seedsOf = 3
 	// askTimeout bounds one question to a process.
 	askTimeout = 10 * time.Second
+	// idleConnections is how many connections to a process wait for more calls.
+	idleConnections = 32
 )
 
 // Programs are the paths of the programs.
@@ -78,7 +80,7 @@
 		removeDir = func() { _ = os.RemoveAll(dir) }
 	}
 	group, stop := qhgroup.New(context.WithoutCancel(ctx))
-	transport := &http.Transport{}
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections}
 	site := &Site{
 		Options: options,
 		group:   group,
