--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -125,7 +125,7 @@
 	case a.StatusCode >= http.StatusInternalServerError:
 		c.fail(endpoint, "status "+strconv.Itoa(a.StatusCode))
 	default:
-		qhbalance.Succeed(endpoint, took)
+		qhbalance.Answer(endpoint, took)
 	}
 }
 
@@ -166,15 +166,9 @@
 	if endpoint.Node != c.proxy.Self {
 		return c.toNode(ctx, endpoint, h)
 	}
-	guard, f := c.proxy.guardOf(endpoint.ID)
-	if f != nil {
-		return nil, f
-	}
 	dropInternal(h.header)
-	h.limits = c.proxy.limits(guard)
-	a, f := c.proxy.toTarget(ctx, guard, h)
-	load := guard.Load()
-	qhbalance.Hint(endpoint, load.Running+load.Queued, time.Now())
+	a, f := c.proxy.toTarget(ctx, endpoint.ID, h)
+	qhbalance.Hint(endpoint, c.proxy.loadOf(endpoint.ID), time.Now())
 	return a, f
 }
 
