--- a/qhbalance/choose.go
+++ b/qhbalance/choose.go
@@ -24,8 +24,6 @@
 	coldPercent = 10
 	// slowStart is how long a new target takes to get its whole share.
 	slowStart = 10 * time.Second
-	// minLatency keeps endpoints without a latency comparable.
-	minLatency = 100 * time.Microsecond
 	// defaultSlots is for a target that announces none.
 	defaultSlots = 8
 )
@@ -101,6 +99,8 @@
 // they are full and most of a side looks unusable, the evidence is doubted.
 func (b *Balancer) Choose(view *qhmember.View, service *qhconfig.Service, tried *Tried, now time.Time) (Choice, bool) {
 	pool := b.pools.of(view, service.Name)
+	pool.near.refresh(now)
+	pool.far.refresh(now)
 	near := pick{balancer: b, side: &pool.near, service: service, tried: tried, now: now}
 	own := near.better(qhdecision.OwnZone)
 	if own.hasRoom(now) {
@@ -139,7 +139,7 @@
 		return Choice{}
 	}
 	choice := Choice{Endpoint: first, Other: p.sample(first), Reason: why}
-	if choice.Other != nil && score(choice.Other, p.now) < score(first, p.now) {
+	if choice.Other != nil && quicker(choice.Other, first, p.now) {
 		choice.Endpoint, choice.Other = choice.Other, first
 	}
 	return choice
@@ -148,7 +148,7 @@
 // doubt chooses among all endpoints of a side where too few look usable to trust
 // the evidence.
 func (p *pick) doubt() Choice {
-	if !p.side.panics(p.now) {
+	if !p.side.doubted.Load() {
 		return Choice{}
 	}
 	doubting := *p
@@ -167,7 +167,7 @@
 		if endpoint == not || !p.usable(endpoint) {
 			continue
 		}
-		if warm := warmth(endpoint, p.now); warm >= 100 || p.balancer.random(100) < warm {
+		if warm := p.side.warmth(endpoint, p.now); warm >= 100 || p.balancer.random(100) < warm {
 			return endpoint
 		}
 	}
@@ -186,7 +186,7 @@
 		if !p.usable(endpoint) {
 			continue
 		}
-		if best == nil || warmth(endpoint, p.now) > warmth(best, p.now) {
+		if best == nil || p.side.warmth(endpoint, p.now) > p.side.warmth(best, p.now) {
 			best = endpoint
 		}
 	}
@@ -204,22 +204,6 @@
 	return p.doubting || (!endpoint.Lost && !ejected(endpoint, p.now))
 }
 
-// warmth returns the part of its share that an endpoint gets, in hundredths.
-func warmth(endpoint *qhmember.Endpoint, now time.Time) int {
-	if endpoint.State == qhmember.Cold {
-		return coldPercent
-	}
-	started := endpoint.Observed.Started.Load()
-	if started == 0 {
-		return 100
-	}
-	age := now.Sub(time.Unix(0, started))
-	if age >= slowStart {
-		return 100
-	}
-	return max(coldPercent, int(age*100/slowStart))
-}
-
 // slots returns the slots of an endpoint.
 func slots(endpoint *qhmember.Endpoint) int64 {
 	if endpoint.Slots > 0 {
@@ -228,10 +212,15 @@
 	return defaultSlots
 }
 
-// score is the expected time to an answer; smaller is better.
-func score(endpoint *qhmember.Endpoint, now time.Time) int64 {
-	latency := max(endpoint.Observed.Latency.Load(), int64(minLatency))
-	return (load(endpoint, now) + 1) * latency / slots(endpoint)
+// quicker tells whether a is expected to answer before b. Endpoints without an
+// answer yet are compared by their load alone, so that one that never answers
+// does not count as quick.
+func quicker(a, b *qhmember.Endpoint, now time.Time) bool {
+	latencyA, latencyB := a.Observed.Latency.Load(), b.Observed.Latency.Load()
+	if latencyA == 0 || latencyB == 0 {
+		latencyA, latencyB = 1, 1
+	}
+	return (load(a, now)+1)*latencyA*slots(b) < (load(b, now)+1)*latencyB*slots(a)
 }
 
 // load returns the calls that the endpoint is believed to have.
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -19,7 +19,8 @@
 )
 
 // send sends the call to a target, and to another one where it may be repeated.
-// Only the caller's own node repeats a call.
+// Only the caller's own node repeats a call. The call is not run only where no
+// attempt may have run.
 func (c *call) send(ctx context.Context) (*answer, *failure) {
 	budget := c.proxy.budgets.Of(c.service.Name)
 	budget.Deposit()
@@ -92,7 +93,7 @@
 	a, f := c.dispatch(ctx, endpoint)
 	if f != nil {
 		observed.InFlight.Add(-1)
-		c.failed(endpoint, f)
+		c.failed(endpoint, f, time.Since(start))
 		return nil, f
 	}
 	c.answered(endpoint, a, time.Since(start))
@@ -129,16 +130,20 @@
 	}
 }
 
-// failed notes a call without an answer. Refusals and callers that left tell
-// nothing against the endpoint.
-func (c *call) failed(endpoint *qhmember.Endpoint, f *failure) {
+// failed notes a call without an answer. Refusals, callers that left and callers
+// that gave it little time tell nothing against the endpoint.
+func (c *call) failed(endpoint *qhmember.Endpoint, f *failure, took time.Duration) {
 	switch f.Reason {
 	case qhdecision.Busy, qhdecision.Late:
 		endpoint.Observed.Refusals.Add(1)
-	case qhdecision.Leaving, qhdecision.NoTarget:
+	case qhdecision.Leaving, qhdecision.NoTarget, qhdecision.GraceOver:
 		endpoint.Observed.Refusals.Add(1)
 		qhbalance.Leave(endpoint, time.Now())
-	case qhdecision.Connect, qhdecision.Connection, qhdecision.Silent, qhdecision.Deadline:
+	case qhdecision.Deadline:
+		if qhbalance.Overdue(endpoint, took) {
+			c.fail(endpoint, f.Detail)
+		}
+	case qhdecision.Connect, qhdecision.Connection, qhdecision.Silent:
 		c.fail(endpoint, f.Detail)
 	}
 }
@@ -174,29 +179,26 @@
 
 // toNode sends the call to the node of the endpoint.
 func (c *call) toNode(ctx context.Context, endpoint *qhmember.Endpoint, h *hop) (*answer, *failure) {
-	h.header.Set(qhheader.NodeFrom, string(c.proxy.Self))
-	h.header.Set(qhheader.NodeTarget, string(endpoint.ID))
-	h.header.Set(qhheader.NodeRoute, string(c.route.Name))
-	h.header.Set(qhheader.NodeVersion, strconv.FormatUint(uint64(c.snapshot.Version), 10))
-	h.header.Set(qhheader.NodeSilence, qhdeadline.Format(h.silence))
-	ctx, cancel := context.WithCancel(ctx)
+	setAll(h.header,
+		field{qhheader.NodeFrom, string(c.proxy.Self)},
+		field{qhheader.NodeTarget, string(endpoint.ID)},
+		field{qhheader.NodeRoute, string(c.route.Name)},
+		field{qhheader.NodeVersion, strconv.FormatUint(uint64(c.snapshot.Version), 10)},
+		field{qhheader.NodeSilence, qhdeadline.Format(h.silence)},
+	)
 	resp, err := c.proxy.peers.RoundTrip(endpoint.Calls, h.request(ctx, endpoint.Calls)) //nolint:bodyclose // pass closes it
 	if err != nil {
-		f := failureOf(ctx, err)
-		cancel()
-		return nil, f
+		return nil, failureOf(ctx, err)
 	}
 	if load, err := strconv.Atoi(resp.Header.Get(qhheader.NodeLoad)); err == nil {
 		qhbalance.Hint(endpoint, load, time.Now())
 	}
 	if outcome := resp.Header.Get(qhheader.Outcome); outcome != "" {
-		f := failureFrom(resp, outcome)
-		cancel()
-		return nil, f
+		return nil, failureFrom(resp, outcome)
 	}
 	took, _ := strconv.ParseInt(resp.Header.Get(qhheader.NodeTook), 10, 64) // 0 where the node says nothing
 	dropMesh(resp.Header)
-	return &answer{Response: resp, release: cancel, took: time.Duration(took) * time.Microsecond}, nil
+	return &answer{Response: resp, release: func() {}, took: time.Duration(took) * time.Microsecond}, nil
 }
 
 // failureFrom reads the failure that another node reported.
