--- a/qhbalance/balance_test.go
+++ b/qhbalance/balance_test.go
@@ -124,6 +124,23 @@
 	g.Expect(counts["t001"]).To(BeNumerically("<", counts["t002"]/3))
 }
 
+func TestTargetsThatAreAllNewShare(t *testing.T) {
+	g := NewWithT(t)
+	old, fresh := endpoint(1, "a"), endpoint(2, "a")
+	old.Observed.Started.Store(epoch.Add(-time.Second).UnixNano())
+	fresh.Observed.Started.Store(epoch.Add(-900 * time.Millisecond).UnixNano())
+	old.Observed.InFlight.Store(3) // the better of two is found although both are new
+	g.Expect(spread(seeded(), viewOf(old, fresh), 100, epoch)["t002"]).To(BeNumerically(">", 95))
+}
+
+func TestEndpointsWithoutAnswersAreNotQuick(t *testing.T) {
+	g := NewWithT(t)
+	mute, quick := endpoint(1, "a"), endpoint(2, "a")
+	Answer(quick, 10*time.Millisecond)
+	mute.Observed.InFlight.Store(1)
+	g.Expect(spread(seeded(), viewOf(mute, quick), 100, epoch)["t001"]).To(BeZero())
+}
+
 func TestColdAndNewTargetsGetLittle(t *testing.T) {
 	g := NewWithT(t)
 	cold, fresh, warm := endpoint(1, "a"), endpoint(2, "a"), endpoint(3, "a")
@@ -186,6 +203,16 @@
 	g.Expect(bad.Observed.Failures.Load()).To(BeZero())
 }
 
+func TestShortDeadlinesBlameNobody(t *testing.T) {
+	g := NewWithT(t)
+	e := endpoint(1, "a")
+	g.Expect(Overdue(e, time.Millisecond)).To(BeFalse())
+	g.Expect(Overdue(e, overdueMin)).To(BeTrue())
+	Answer(e, time.Second)
+	g.Expect(Overdue(e, 4*time.Second)).To(BeFalse())
+	g.Expect(Overdue(e, 5*time.Second)).To(BeTrue())
+}
+
 func BenchmarkChoose(b *testing.B) {
 	for _, services := range []int{33, 330, 3300} {
 		for _, endpoints := range []int{3, 30, 300} {
--- a/qhproxy/proxy.go
+++ b/qhproxy/proxy.go
@@ -1,5 +1,14 @@
 // Package qhproxy carries calls: from a caller to the node on the VM of a
 // target, and from there to the target.
+//
+// A call of a caller (callers.go) is checked, matched to a route and a service,
+// and its key claimed where it has one (keyed.go). It is then sent to an
+// endpoint, and to another one where it may be repeated (send.go). The endpoint's
+// node (nodes.go) waits for a slot of the target and sends the call to it
+// (target.go); where that node is the caller's own, the hop between nodes is left
+// out. The answer is passed on as it comes (answer.go). A call that gets no
+// answer of a target is a failure (failure.go), which the mesh answers itself
+// (refuse.go): as not run only where no byte of it was given to a target.
 package qhproxy
 
 import (
@@ -59,7 +68,7 @@
 	random func(n int) int
 	// base is the parent of the contexts of all calls. It ends when calls are cut.
 	base context.Context //nolint:containedctx // handed to the servers' BaseContext
-	cut  context.CancelFunc
+	cut  context.CancelCauseFunc
 	// targets is the gate of calls to the targets of this VM.
 	targets *gate
 	// callers is the gate of calls of callers.
@@ -74,7 +83,7 @@
 		options.Random = rand.IntN
 	}
 	peers, closePeers := qhconn.NewPeers()
-	base, cut := context.WithCancel(context.Background())
+	base, cut := context.WithCancelCause(context.Background())
 	proxy := &Proxy{
 		Options:  options,
 		balancer: qhbalance.New(qhbalance.Options{Zone: options.Zone, Random: options.Random}),
@@ -95,7 +104,7 @@
 		})
 	}
 	return proxy, func() {
-		cut()
+		cut(errCut)
 		closePeers()
 		closeClaims()
 	}
--- a/qhsite/site.go
+++ b/qhsite/site.go
@@ -9,7 +9,6 @@
 
 	"quetzalhaven.dev/qherr"
 	"quetzalhaven.dev/qhgroup"
-	"quetzalhaven.dev/qhid"
 )
 
 const (
@@ -19,6 +18,8 @@
 	seedsOf = 3
 	// askTimeout bounds one question to a process.
 	askTimeout = 10 * time.Second
+	// idleConnections is how many connections to a process wait for more calls.
+	idleConnections = 32
 )
 
 // Programs are the paths of the programs.
@@ -79,7 +80,7 @@
 		removeDir = func() { _ = os.RemoveAll(dir) }
 	}
 	group, stop := qhgroup.New(context.WithoutCancel(ctx))
-	transport := &http.Transport{}
+	transport := &http.Transport{MaxIdleConnsPerHost: idleConnections}
 	site := &Site{
 		Options: options,
 		group:   group,
@@ -100,7 +101,7 @@
 
 func (s *Site) start(ctx context.Context) error {
 	if s.Cuttable {
-		s.cuts = newCuts()
+		s.cuts = newCuts(s.group)
 	}
 	if err := s.startPlatform(ctx); err != nil {
 		return err
@@ -136,7 +137,7 @@
 	if s.cuts == nil {
 		return nil
 	}
-	address, err = startGate(ctx, gate{cuts: s.cuts, zone: PlatformZone, upstream: address, group: s.group}, "127.0.0.1")
+	address, err = s.cuts.startGate(ctx, "127.0.0.1", PlatformZone, address, s.Deployment.Zones)
 	s.nodesPlatform = "http://" + string(address)
 	return err
 }
@@ -191,13 +192,3 @@
 		}
 	}
 }
-
-// Node returns the node with the id, or nil.
-func (s *Site) Node(id qhid.Node) *Node {
-	for _, node := range s.Nodes {
-		if node.Settings.ID == id {
-			return node
-		}
-	}
-	return nil
-}
