qhspread: Bring a node that pulls to the newest version in one step

Cause: a relay had begun to take the first version by its diff from nothing, and kept that diff for its peers. A restarted node pulls as one that holds nothing, got the chain of diffs from the first version on, and took each in turn: it was on version 1 again for half a millisecond after it had held version 2. Ruled out: an old answer of the platform, which was down; a lost peer. Change: whoever holds nothing gets the newest version whole; several diffs are merged and reach the holder as one, also where a node is only behind.

--- a/qhspread/content.go
+++ b/qhspread/content.go
@@ -1,6 +1,7 @@
 package qhspread
 
 import (
+	"slices"
 	"sync"
 
 	"go.uber.org/zap"
@@ -50,22 +51,35 @@
 // takeDiff takes a diff and returns whether it led to a newer version. An error
 // of kind Conflict means that the whole version has to be asked for.
 func (c *content) takeDiff(diff qhconfig.Diff) (bool, error) {
+	return c.takeDiffs([]qhconfig.Diff{diff})
+}
+
+// takeDiffs takes diffs that follow on each other like one: the holder gets the
+// last version only.
+func (c *content) takeDiffs(diffs []qhconfig.Diff) (bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if diff.Next <= c.version {
+	diffs = slices.DeleteFunc(slices.Clone(diffs), func(d qhconfig.Diff) bool { return d.Next <= c.version })
+	if len(diffs) == 0 {
 		return false, nil
 	}
-	if diff.Base != c.version {
-		return false, qherr.New(qherr.Conflict, nil, "ask for the whole version", "diff is for version %d, not %d", diff.Base, c.version)
+	version, next := c.version, c.config
+	for _, diff := range diffs {
+		if diff.Base != version {
+			return false, qherr.New(qherr.Conflict, nil, "ask for the whole version", "diff is for version %d, not %d", diff.Base, version)
+		}
+		version, next = diff.Next, diff.Merge(next)
 	}
+	last := diffs[len(diffs)-1]
 	digester := c.digester
-	next := diff.Merge(c.config)
-	if sum := digester.Digest(next); sum != diff.Digest {
-		return false, qherr.New(qherr.Conflict, nil, "ask for the whole version", "diff to version %d gives digest %s, not %s", diff.Next, sum, diff.Digest)
+	if sum := digester.Digest(next); sum != last.Digest {
+		return false, qherr.New(qherr.Conflict, nil, "ask for the whole version", "diff to version %d gives digest %s, not %s", version, sum, last.Digest)
 	}
 	c.digester = digester
-	c.keep(diff)
-	c.swap(diff.Next, diff.Digest, next)
+	for _, diff := range diffs {
+		c.keep(diff)
+	}
+	c.swap(version, last.Digest, next)
 	return true, nil
 }
 
@@ -118,6 +132,9 @@
 	if version >= c.version {
 		return nil, true
 	}
+	if version == 0 {
+		return nil, false // whoever holds nothing gets the newest whole
+	}
 	for i, diff := range c.diffs {
 		if diff.Base == version {
 			return append([]qhconfig.Diff(nil), c.diffs[i:]...), true
@@ -151,13 +168,5 @@
 		}
 		return c.takeWhole(sent.Version, sent.Digest, config)
 	}
-	changed := false
-	for _, diff := range sent.Diffs {
-		newer, err := c.takeDiff(diff)
-		if err != nil {
-			return changed, err
-		}
-		changed = changed || newer
-	}
-	return changed, nil
+	return c.takeDiffs(sent.Diffs)
 }
