qhplatform: Replace a test that hung on the order of timeouts

"never sends a call that waits for a connection past its timeout" failed in one run of the whole tree: three calls with the same timeout shared one connection, and on a busy machine each of them got it just before its own time was over, so that all were rightly unknown. The test was wrong, not the client.

Change: a call that hangs holds the only connection for as long as the test runs, and the write that gives up meanwhile has to be unavailable and must not have arrived; it still fails on a client that takes every failure for a lost answer. The test of a slow write now gives up when the platform has the write, not after a time, and silent connections have 2 s.

--- a/qhplatform/http_test.go
+++ b/qhplatform/http_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -121,7 +120,7 @@
 		DeferCleanup(closeForwarder)
 		const connections = 4
 		store, cleanUp := qhplatform.NewHTTP(qhplatform.HTTPOptions{
-			Base: "http://" + string(forwarder.Address()), Timeout: time.Second, Tries: 2, Connections: connections,
+			Base: "http://" + string(forwarder.Address()), Timeout: 2 * time.Second, Tries: 2, Connections: connections,
 		})
 		DeferCleanup(cleanUp)
 		fillConnections(store, connections, memory)
@@ -130,30 +129,19 @@
 		Expect(err).To(beKind(qherr.NotFound))
 	})
 
-	It("never sends a call that waits for a connection past its timeout", func() {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(listener.Close)
-		store, cleanUp := qhplatform.NewHTTP(qhplatform.HTTPOptions{
-			Base: "http://" + listener.Addr().String(), Timeout: 100 * time.Millisecond, Connections: 1,
-		})
-		DeferCleanup(cleanUp)
+	It("reports a write as unavailable that found no free connection in its time", func() {
+		memory := qhplatform.NewMemory(qhplatform.MemoryOptions{})
+		memory.SetFaults(qhplatform.Faults{Prefix: "held", Hang: true})
+		store := connect(qhplatform.HTTPOptions{Timeout: time.Hour, Connections: 1}, qhplatform.NewHandler(memory))
 		group, stop := qhgroup.New(ctx)
 		DeferCleanup(stop)
-		var kinds sync.Map
-		var done sync.WaitGroup
-		const calls = 3
-		done.Add(calls)
-		for range calls {
-			group.Go(func(context.Context) {
-				defer done.Done()
-				_, err := store.Create(ctx, "a", nil)
-				kinds.Store(qherr.KindOf(err), true)
-			})
-		}
-		done.Wait()
-		_, unavailable := kinds.Load(qherr.Unavailable)
-		Expect(unavailable).To(BeTrue())
+		group.Go(func(ctx context.Context) { _, _ = store.Create(ctx, "held", nil) })
+		Eventually(func() int { return memory.Counts().Total }).WithTimeout(20 * time.Second).Should(Equal(1))
+		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		_, err := store.Create(short, "a", nil)
+		Expect(err).To(beKind(qherr.Unavailable))
+		Expect(memory.Counts().Total).To(Equal(1))
 	})
 })
 
--- a/qhplatform/store_test.go
+++ b/qhplatform/store_test.go
@@ -11,6 +11,7 @@
 
 	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhplatform"
 )
 
@@ -160,9 +161,16 @@
 		})
 
 		It("lets a slow write take effect after its caller gave up", func() {
-			memory.SetFaults(qhplatform.Faults{Delay: qhconfig.Duration(300 * time.Millisecond)})
-			short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
-			defer cancel()
+			memory.SetFaults(qhplatform.Faults{Delay: qhconfig.Duration(2 * time.Second)})
+			short, giveUp := context.WithCancel(ctx)
+			group, stop := qhgroup.New(ctx)
+			defer stop()
+			group.Go(func(context.Context) {
+				defer giveUp()
+				for memory.Counts().Calls[qhplatform.OpCreate] == 0 {
+					time.Sleep(time.Millisecond)
+				}
+			})
 			_, err := store.Create(short, "a", []byte("1"))
 			Expect(err).To(beKind(qherr.Unknown))
 			memory.SetFaults(qhplatform.Faults{})
