qhplatform: Keep the calls of keyed claims from holding up the others

Every keyed call writes to the platform twice, through the same limit and the same four connections as the renewals of relay slots and the loads of versions. A node with many keyed calls, or a platform that hangs, let those wait behind the claims past their time, so that relays lost their slots.

Change: keys with the prefix Bulk have connections of their own and four fifths of the rate at most; a node sets it for its claims. Burst is an option of its own now. Ruled out: a second client with a rate of its own, since the bound of calls a node is for both together.

What failed first: both tests fail where no key counts as bulk: all five calls of a burst went to claims, and a slot could not be written while a claim hung.

--- a/qhnode/qhserve/node.go
+++ b/qhnode/qhserve/node.go
@@ -38,6 +38,8 @@
 	leaveBound = 2 * time.Second
 	// platformRate is how often a second a node calls the platform at most.
 	platformRate = 50
+	// claimKeys is the prefix of what keyed calls write to the platform.
+	claimKeys qhplatform.Key = "claim/"
 )
 
 // Options configures a node.
@@ -124,7 +126,9 @@
 func (n *Node) start(listeners listeners, stops *cleanups) error {
 	settings := n.Settings
 	self := n.entry()
-	store, closeStore := qhplatform.NewHTTP(qhplatform.HTTPOptions{Base: settings.Platform, Rate: platformRate, Metrics: n.metrics, Log: n.Log})
+	store, closeStore := qhplatform.NewHTTP(qhplatform.HTTPOptions{
+		Base: settings.Platform, Rate: platformRate, Bulk: claimKeys, Metrics: n.metrics, Log: n.Log,
+	})
 	stops.add(closeStore)
 	n.holder = qhhold.New(qhhold.Options{Node: settings.ID, Log: n.Log, Metrics: n.metrics})
 	n.members = qhmember.NewTable(qhmember.Options{Self: self, Pause: viewPause})
--- a/qhplatform/http.go
+++ b/qhplatform/http.go
@@ -20,7 +20,9 @@
 	defaultRate    = 50
 	defaultTries   = 4
 	defaultConns   = 4
-	idleTimeout    = 5 * time.Second
+	// bulkShare is the part of the rate that bulk keys may use.
+	bulkShare   = 0.8
+	idleTimeout = 5 * time.Second
 )
 
 // HTTPOptions are the options of NewHTTP. Base is required.
@@ -32,9 +34,15 @@
 	// Wait is how long the platform is asked to hold a watch; 4 s where it is 0.
 	// A watch without an answer for that and Timeout went silent.
 	Wait time.Duration
-	// Rate is the most calls a second, repeats included; 50 where it is 0. As
-	// many may follow each other at once.
+	// Rate is the most calls a second, repeats included; 50 where it is 0.
 	Rate float64
+	// Burst is how many calls may follow each other at once; those of one second
+	// where it is 0.
+	Burst int
+	// Bulk is the prefix of keys that are used as often as calls come in; empty
+	// for none. Their calls have connections of their own and at most four fifths
+	// of the rate, so that they do not hold up the others.
+	Bulk Key
 	// Tries is the most tries of a read; 4 where it is 0. Writes have one.
 	Tries uint
 	// Connections bounds the open connections for calls, and for watches; 4 where it is 0.
@@ -51,8 +59,11 @@
 	base    *url.URL
 	calls   *http.Client
 	watches *http.Client
-	limiter *rate.Limiter
-	budget  *budget
+	bulk    *http.Client
+	// limiter bounds all calls, bulkLimiter those of bulk keys besides.
+	limiter     *rate.Limiter
+	bulkLimiter *rate.Limiter
+	budget      *budget
 }
 
 // NewHTTP returns the platform at the base URL and its clean-up, which closes
@@ -63,7 +74,9 @@
 	c.base, _ = url.Parse(c.Base) // a nil base fails each call as BadInput
 	c.calls = newHTTPClient(c.Connections)
 	c.watches = newHTTPClient(c.Connections)
-	c.limiter = rate.NewLimiter(rate.Limit(c.Rate), max(1, int(c.Rate)))
+	c.bulk = newHTTPClient(c.Connections)
+	c.limiter = rate.NewLimiter(rate.Limit(c.Rate), c.Burst)
+	c.bulkLimiter = rate.NewLimiter(rate.Limit(bulkShare*c.Rate), max(1, int(bulkShare*float64(c.Burst))))
 	c.budget = newBudget()
 	store := Store{
 		Get:    c.get,
@@ -76,6 +89,7 @@
 	return store, func() {
 		c.calls.CloseIdleConnections()
 		c.watches.CloseIdleConnections()
+		c.bulk.CloseIdleConnections()
 	}
 }
 
@@ -83,6 +97,7 @@
 	opts.Timeout = orDefault(opts.Timeout, defaultTimeout)
 	opts.Wait = orDefault(opts.Wait, defaultWait)
 	opts.Rate = orDefault(opts.Rate, defaultRate)
+	opts.Burst = orDefault(opts.Burst, max(1, int(opts.Rate)))
 	opts.Tries = orDefault(opts.Tries, defaultTries)
 	opts.Connections = orDefault(opts.Connections, defaultConns)
 	if opts.Metrics == nil {
--- a/qhplatform/http_call.go
+++ b/qhplatform/http_call.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -70,8 +71,11 @@
 // call makes one try and returns the body of its answer.
 func (c *client) call(ctx context.Context, req request) ([]byte, error) {
 	timeout, client := c.Timeout, c.calls
-	if req.op == OpWatch {
+	switch {
+	case req.op == OpWatch:
 		timeout, client = c.Wait+c.Timeout, c.watches
+	case c.isBulk(req.key):
+		client = c.bulk
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -87,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := c.limiter.Wait(ctx); err != nil {
+	if err := c.await(ctx, req); err != nil {
 		return nil, qherr.New(qherr.Unavailable, err, "wait before the next call",
 			"%s %s was not sent, since this process calls the platform at its set rate", req.op, req.key)
 	}
@@ -108,6 +112,20 @@
 	return nil, refusal(req, resp.StatusCode, body)
 }
 
+func (c *client) isBulk(key Key) bool {
+	return c.Bulk != "" && strings.HasPrefix(string(key), string(c.Bulk))
+}
+
+// await waits until the limits let the call through.
+func (c *client) await(ctx context.Context, req request) error {
+	if c.isBulk(req.key) {
+		if err := c.bulkLimiter.Wait(ctx); err != nil {
+			return err
+		}
+	}
+	return c.limiter.Wait(ctx)
+}
+
 // build returns the HTTP request. sent is set once it has a connection, from
 // when on a write may take effect.
 func (c *client) build(ctx context.Context, req request, sent *atomic.Bool) (*http.Request, error) {
--- a/qhplatform/http_test.go
+++ b/qhplatform/http_test.go
@@ -99,6 +99,31 @@
 		Expect(written.String()).To(ContainSubstring(`qh_platform_calls_total{op="create"} 1` + "\n"))
 	})
 
+	It("leaves a part of the rate to other keys than bulk ones", func() {
+		memory := qhplatform.NewMemory(qhplatform.MemoryOptions{})
+		store := connect(qhplatform.HTTPOptions{Rate: 1e-3, Burst: 5, Bulk: "claim/"}, qhplatform.NewHandler(memory))
+		for range 10 {
+			_, _ = store.Get(ctx, "claim/urns/1")
+		}
+		Expect(memory.Counts().Total).To(Equal(4))
+		_, err := store.Create(ctx, "relay/kigali-a/0", nil)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
+	It("has connections for other keys while those of bulk keys hang", func() {
+		memory := qhplatform.NewMemory(qhplatform.MemoryOptions{})
+		memory.SetFaults(qhplatform.Faults{Prefix: "claim/", Hang: true})
+		store := connect(qhplatform.HTTPOptions{Timeout: time.Hour, Connections: 1, Bulk: "claim/"}, qhplatform.NewHandler(memory))
+		group, stop := qhgroup.New(ctx)
+		DeferCleanup(stop)
+		group.Go(func(ctx context.Context) { _, _ = store.Create(ctx, "claim/urns/1", nil) })
+		Eventually(func() int { return memory.Counts().Total }).WithTimeout(20 * time.Second).Should(Equal(1))
+		bound, cancel := context.WithTimeout(ctx, 20*time.Second)
+		defer cancel()
+		_, err := store.Create(bound, "relay/kigali-a/0", nil)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("tries reads again, and stops to do so while the platform stays out", func() {
 		memory := qhplatform.NewMemory(qhplatform.MemoryOptions{})
 		store := connect(qhplatform.HTTPOptions{Rate: 1e6, Tries: 2}, qhplatform.NewHandler(memory))
