qhspread: Keep a path that comes before the answer to a join

A parent that changes its own path while it takes a child sends the path before its answer: the child passed it over and kept the older one, so that a ring above it could stay unseen. What comes on the link of a join is now kept for it. Also: a node that takes a connection and answers nothing to an exchange is asked again as a suspect, as one that cannot be dialled.

--- a/qhspread/exchange.go
+++ b/qhspread/exchange.go
@@ -38,29 +38,38 @@
 		return
 	}
 	for _, entry := range s.sample(1) {
-		link, err := s.transport.Dial(ctx, entry.Peers)
-		if err != nil {
+		if !s.compareWith(ctx, entry) && ctx.Err() == nil {
 			s.suspect(entry.Node)
-			continue
 		}
-		s.compare(ctx, link)
-		link.Close()
 	}
 }
 
-// compare finds what this node or the peer lacks, and repairs it both ways.
-func (s *Spreader) compare(ctx context.Context, link *qhwire.Link) {
+// compareWith compares with a node on a link of its own. It returns false where
+// the node gives no answer.
+func (s *Spreader) compareWith(ctx context.Context, entry qhmember.Entry) bool {
+	link, err := s.transport.Dial(ctx, entry.Peers)
+	if err != nil {
+		return false
+	}
+	defer link.Close()
+	return s.compare(ctx, link)
+}
+
+// compare finds what this node or the peer lacks, and repairs it both ways. It
+// returns false where the peer gives no answer.
+func (s *Spreader) compare(ctx context.Context, link *qhwire.Link) bool {
 	answer, err := s.ask(ctx, link, false)
 	if err != nil {
-		return
+		return false
 	}
 	s.even(ctx, link, answer)
 	if answer.Sum == s.Members.Digest() {
-		return
+		return true
 	}
 	for zone := range s.lasting(ctx, link) {
 		s.repair(ctx, link, zone)
 	}
+	return true
 }
 
 // lasting returns the availability zones in which this node and the peer keep
--- a/qhspread/join.go
+++ b/qhspread/join.go
@@ -20,23 +20,23 @@
 
 // onJoin answers a node that wants this one as its parent.
 func (s *Spreader) onJoin(_ context.Context, link *qhwire.Link, join qhwire.Join) (qhwire.Joined, error) {
-	if !s.admit.Allow() {
-		return s.refuse("too many newcomers", rand.N(maxWait)), nil //nolint:gosec // spreads load, no secret
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.admit.Allow() {
+		return s.joined("too many newcomers", jitter(maxWait)), nil
+	}
 	if reason := s.objection(join); reason != "" {
-		return s.refusal(reason, 0), nil
+		return s.joined(reason, 0), nil
 	}
 	if children := s.children(); len(children) >= s.Settings.Fanout && !s.hasChild(join.Node) {
-		answer := s.refusal("full", 0)
+		answer := s.joined("full", 0)
 		answer.To = s.addressOf(children[rand.IntN(len(children))].node) //nolint:gosec // spreads load, no secret
 		return answer, nil
 	}
 	s.dropChild(join.Node)
 	child := newNeighbor(link, roleChild, join.Node, join.Zone, join.Version)
 	s.connect(child)
-	return s.refusal("", 0), nil
+	return s.joined("", 0), nil
 }
 
 // objection tells why a node cannot be a child at all. It is called with the
@@ -83,15 +83,9 @@
 	return children
 }
 
-func (s *Spreader) refuse(reason string, wait time.Duration) qhwire.Joined {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.refusal(reason, wait)
-}
-
-// refusal returns the answer to a Join or Hello with what the other end has to
+// joined returns the answer to a Join or Hello with what the other end has to
 // know of this node; an empty reason accepts. It is called with the lock held.
-func (s *Spreader) refusal(reason string, wait time.Duration) qhwire.Joined {
+func (s *Spreader) joined(reason string, wait time.Duration) qhwire.Joined {
 	version, _ := s.content.known()
 	return qhwire.Joined{
 		Node:    s.self,
@@ -113,6 +107,9 @@
 func (s *Spreader) onPath(_ context.Context, link *qhwire.Link, path qhwire.Path) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.joining != nil && s.joining.link == link {
+		s.joining.path = path.Path
+	}
 	parent := s.parent
 	if parent == nil || parent.link != link {
 		return
@@ -160,6 +157,8 @@
 	version, _ := s.content.known()
 	asked, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	s.setJoining(&joining{link: link})
+	defer s.setJoining(nil)
 	join := qhwire.Join{Node: s.self, Zone: s.zone, Version: version}
 	answer, err := qhwire.Call[qhwire.Joined](asked, link, qhwire.KindJoin, join)
 	if err != nil || answer.Reason != "" || !s.setParent(link, answer) {
@@ -171,11 +170,28 @@
 	return answer, true
 }
 
+// joining is an attempt to get a parent.
+type joining struct {
+	link *qhwire.Link
+	// path is what the parent sent before its answer was taken; nil for nothing.
+	// It is newer than the path in the answer.
+	path []qhid.Node
+}
+
+func (s *Spreader) setJoining(attempt *joining) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.joining = attempt
+}
+
 // setParent makes the other end of a link the parent where this node still
 // needs one and no ring would close.
 func (s *Spreader) setParent(link *qhwire.Link, answer qhwire.Joined) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.joining.path != nil {
+		answer.Path = s.joining.path
+	}
 	if s.parent != nil || s.leaving || answer.Zone != s.zone || slices.Contains(answer.Path, s.self) {
 		return false
 	}
--- a/qhspread/recovery_test.go
+++ b/qhspread/recovery_test.go
@@ -1,6 +1,8 @@
 package qhspread_test
 
 import (
+	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -11,6 +13,7 @@
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmember"
 	"quetzalhaven.dev/qhplatform"
+	"quetzalhaven.dev/qhwire"
 )
 
 // expectNews announces a target and waits until all nodes know it.
@@ -158,3 +161,18 @@
 		Expect(f.root("kigali-a")).To(Equal(root))
 	})
 })
+
+var _ = Describe("A child", func() {
+	It("takes a path that its parent sends before the answer", func() {
+		mux := qhwire.NewMux()
+		qhwire.HandleCall(mux, qhwire.KindJoin, func(ctx context.Context, link *qhwire.Link, _ qhwire.Join) (qhwire.Joined, error) {
+			Expect(link.Notify(ctx, qhwire.KindPath, qhwire.Path{Path: []qhid.Node{"new", "parent"}})).To(Succeed())
+			return qhwire.Joined{Node: "parent", Zone: "kigali-a", Path: []qhid.Node{"old", "parent"}}, nil
+		})
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		strangerWith(mux).Serve(listener)
+		child := newFleet().startNode("kigali-a", "child", qhid.Address(listener.Addr().String()))
+		Eventually(func() []qhid.Node { return child.State().Path }, patience).Should(Equal([]qhid.Node{"new", "parent", "child"}))
+	})
+})
--- a/qhspread/roots.go
+++ b/qhspread/roots.go
@@ -172,16 +172,16 @@
 	defer s.mu.Unlock()
 	switch {
 	case s.leaving:
-		return s.refusal("leaving", 0), nil
+		return s.joined("leaving", 0), nil
 	case s.parent != nil:
-		answer := s.refusal("not a root", 0)
+		answer := s.joined("not a root", 0)
 		answer.To = s.addressOf(s.path[0])
 		return answer, nil
 	case s.linked(hello.Node):
-		return s.refusal("linked already", 0), nil
+		return s.joined("linked already", 0), nil
 	}
 	s.connect(newNeighbor(link, roleRoot, hello.Node, hello.Zone, hello.Version))
-	return s.refusal("", 0), nil
+	return s.joined("", 0), nil
 }
 
 // linked tells whether there is a link to a root. It is called with the lock held.
--- a/qhspread/spreader.go
+++ b/qhspread/spreader.go
@@ -84,6 +84,8 @@
 	neighbors map[*neighbor]struct{}
 	// parent is one of neighbors; nil for a root.
 	parent *neighbor
+	// joining is the attempt to get a parent that runs; nil for none.
+	joining *joining
 	// path leads from the root to this node, which is its last.
 	path []qhid.Node
 	// leaving is set once.
