--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -46,6 +46,12 @@
 	start := time.Now()
 	c := &call{proxy: p, in: r, id: requestID(r)}
 	w.Header().Set(qhheader.RequestID, string(c.id))
+	if !p.callers.enter() {
+		w.Header().Set("Connection", "close")
+		p.refuse(w, notRun(qhdecision.Leaving, http.StatusServiceUnavailable, defaultAfter, "this node is leaving; use another one"), c.decision())
+		return
+	}
+	defer p.callers.leave()
 	deadline, f := c.prepare(w)
 	if f != nil {
 		p.refuse(w, f, c.decision())
@@ -82,9 +88,6 @@
 
 // check refuses what no route takes, and drops headers that callers may not set.
 func (c *call) check() *failure {
-	if c.proxy.leaving.Load() {
-		return notRun(qhdecision.Leaving, http.StatusServiceUnavailable, defaultAfter, "this node is leaving; use another one")
-	}
 	if c.in.Method == http.MethodConnect || upgrades(c.in) {
 		return notRun(qhdecision.Upgrade, http.StatusNotImplemented, 0, "the mesh carries no other protocols; send plain HTTP")
 	}
@@ -127,13 +130,14 @@
 	control := http.NewResponseController(w)
 	_ = control.SetWriteDeadline(deadline.Add(writeGrace)) // a writer without deadlines is bounded by the call's own
 	if c.in.ContentLength != 0 {
-		_ = control.SetReadDeadline(deadline.Add(writeGrace))
+		_ = control.SetReadDeadline(deadline)
 		c.in.Body = http.MaxBytesReader(w, c.in.Body, bound)
 	}
 	body, err := newRequestBody(c.in)
 	if err != nil {
 		return notRun(qhdecision.BadBody, http.StatusBadRequest, 0, err.Error())
 	}
+	_ = control.SetReadDeadline(deadline.Add(writeGrace)) // the deadline itself ends the call from here on
 	if body.stream != nil && c.in.ProtoMajor == 1 {
 		_ = control.EnableFullDuplex() // the target may answer while the body is still sent
 	}
--- a/qhspread/watch.go
+++ b/qhspread/watch.go
@@ -87,6 +87,7 @@
 	}
 	newer, err := s.takeLoaded(config, record)
 	if newer {
+		s.converged.begin(head.Version, time.Now())
 		s.pokeAll()
 	}
 	return err
