--- a/qhspread/bench_test.go
+++ b/qhspread/bench_test.go
@@ -28,6 +28,9 @@
 // benchServices is the size of the configuration in the benchmarks of fleets.
 const benchServices = 330
 
+// changePause is the time between two changes, enough for all that follows one.
+const changePause = 1500 * time.Millisecond
+
 // idleTime is how long an idle fleet is watched.
 const idleTime = 10 * time.Second
 
@@ -35,7 +38,8 @@
 // that sends the whole state to everyone, and a watch per node.
 func BenchmarkFleet(b *testing.B) {
 	for _, size := range []int{8, 16, 32, 64, 128} {
-		b.Run(fmt.Sprintf("tree/%d", size), func(b *testing.B) { benchTree(b, size) })
+		b.Run(fmt.Sprintf("tree/%d", size), func(b *testing.B) { benchTree(b, benchFleet(size)) })
+		b.Run(fmt.Sprintf("narrow/%d", size), func(b *testing.B) { benchTree(b, benchNarrow(size)) })
 		b.Run(fmt.Sprintf("whole/%d", size), func(b *testing.B) { benchWhole(b, size) })
 		b.Run(fmt.Sprintf("watch/%d", size), func(b *testing.B) { benchWatch(b, size) })
 	}
@@ -86,11 +90,11 @@
 	return times
 }
 
-func benchTree(b *testing.B, size int) {
+func benchTree(b *testing.B, f *fleet) {
 	RegisterTestingT(b)
-	f := benchFleet(size)
 	defer f.stop()
 	nodes := f.all()
+	size := len(nodes)
 	var holders []*qhhold.Holder
 	for _, n := range nodes {
 		holders = append(holders, n.holder)
@@ -118,7 +122,7 @@
 	var times []time.Duration
 	for range b.N {
 		times = append(times, converge(f.chain, holders)...)
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(changePause)
 	}
 	took := time.Since(began).Seconds()
 	busiest, total := 0.0, 0.0
@@ -143,13 +147,24 @@
 // benchFleet returns a fleet with default settings in three availability zones.
 func benchFleet(size int) *fleet { return benchFleetOf(size, 3) }
 
+// benchNarrow returns one with settings that favour control bytes.
+func benchNarrow(size int) *fleet {
+	settings := qhsetting.DefaultNode().Spread
+	settings.Fanout, settings.Relays = 3, 2
+	return benchFleetWith(settings, size, 3)
+}
+
 func benchFleetOf(size, zones int) *fleet {
+	return benchFleetWith(qhsetting.DefaultNode().Spread, size, zones)
+}
+
+func benchFleetWith(settings qhsetting.Spread, size, zones int) *fleet {
 	memory := qhplatform.NewMemory(qhplatform.MemoryOptions{})
 	f := &fleet{
 		platform: memory,
 		chain:    qhhead.New(qhhead.Options{Store: memory.Store()}),
 		network:  newNetwork(),
-		settings: qhsetting.DefaultNode().Spread,
+		settings: settings,
 		nodes:    make(map[qhid.Node]*node),
 	}
 	for i := range size {
--- a/qhspread/sender.go
+++ b/qhspread/sender.go
@@ -8,9 +8,14 @@
 	"quetzalhaven.dev/qhwire"
 )
 
-// hintPause is how long a root waits before it tells another root of a new
-// version, which that one normally has from the platform by then.
-const hintPause = 300 * time.Millisecond
+const (
+	// hintPause is how long a root waits before it tells another root of a new
+	// version, which that one normally has from the platform by then.
+	hintPause = 300 * time.Millisecond
+	// hintJitter bounds a random part of the wait, in which one of two roots
+	// tells the other first and spares it the same.
+	hintJitter = 700 * time.Millisecond
+)
 
 // sender sends to one neighbor what waits for it.
 type sender struct {
@@ -18,9 +23,8 @@
 	to *neighbor
 	// sent is when the last news went.
 	sent time.Time
-	// lacking is since when the peer is known to lack the newest version; zero
-	// where it has it.
-	lacking time.Time
+	// due is when another root is told of the newest version; zero where it has it.
+	due time.Time
 }
 
 // run sends until the link ends. The first news after a quiet time goes at
@@ -66,7 +70,7 @@
 	newest, _ := s.content.known()
 	version, lacks := s.to.lacks(newest)
 	if !lacks {
-		s.lacking = time.Time{}
+		s.due = time.Time{}
 		return idle
 	}
 	if s.to.role == roleRoot {
@@ -88,13 +92,13 @@
 }
 
 func (s *sender) hint(ctx context.Context) time.Duration {
-	if s.lacking.IsZero() {
-		s.lacking = time.Now()
+	if s.due.IsZero() {
+		s.due = time.Now().Add(hintPause + jitter(hintJitter))
 	}
-	if wait := hintPause - time.Since(s.lacking); wait > 0 {
+	if wait := time.Until(s.due); wait > 0 {
 		return wait
 	}
-	s.lacking = time.Time{}
+	s.due = time.Time{}
 	s.tell(ctx)
 	return idle
 }
