--- a/qhspread/bench_test.go
+++ b/qhspread/bench_test.go
@@ -38,8 +38,8 @@
 // that sends the whole state to everyone, and a watch per node.
 func BenchmarkFleet(b *testing.B) {
 	for _, size := range []int{8, 16, 32, 64, 128} {
-		b.Run(fmt.Sprintf("tree/%d", size), func(b *testing.B) { benchTree(b, benchFleet(size)) })
-		b.Run(fmt.Sprintf("narrow/%d", size), func(b *testing.B) { benchTree(b, benchNarrow(size)) })
+		b.Run(fmt.Sprintf("tree/%d", size), func(b *testing.B) { benchTree(b, benchFleet, size) })
+		b.Run(fmt.Sprintf("narrow/%d", size), func(b *testing.B) { benchTree(b, benchNarrow, size) })
 		b.Run(fmt.Sprintf("whole/%d", size), func(b *testing.B) { benchWhole(b, size) })
 		b.Run(fmt.Sprintf("watch/%d", size), func(b *testing.B) { benchWatch(b, size) })
 	}
@@ -90,11 +90,11 @@
 	return times
 }
 
-func benchTree(b *testing.B, f *fleet) {
+func benchTree(b *testing.B, start func(size int) *fleet, size int) {
 	RegisterTestingT(b)
+	f := start(size)
 	defer f.stop()
 	nodes := f.all()
-	size := len(nodes)
 	var holders []*qhhold.Holder
 	for _, n := range nodes {
 		holders = append(holders, n.holder)
