qhconn: Send nothing to a node that has not spoken yet

Cause: a node that is frozen, or cut off behind something that still accepts connections, got calls on new connections, which then were unknown until their pings failed, and callers of what may not be repeated lost them. Change: a new connection is used once the other end's settings came in, within the bound for connecting; else its calls are unsent and go elsewhere. Figures: none taken; a new connection costs one more round trip.

--- a/qhconn/peers.go
+++ b/qhconn/peers.go
@@ -157,10 +157,17 @@
 	return client, node.dialing
 }
 
-// dial makes a connection for all who wait for it.
+// dial makes a connection for all who wait for it. The connection is not used
+// before the other end has spoken, so that calls for a node that listens and is
+// frozen or out of reach are not sent at all.
 func (p *Peers) dial(ctx context.Context, node *peer, address qhid.Address, d *dialing) {
 	var w *wire
 	client, err := p.transport.NewClientConn(context.WithValue(ctx, wireKey{}, &w), "http", string(address))
+	if err == nil {
+		if err = w.awaitFirst(ctx); err != nil {
+			_ = client.Close() // nothing is on it
+		}
+	}
 	node.mu.Lock()
 	defer node.mu.Unlock()
 	if err != nil {
--- a/qhconn/wire.go
+++ b/qhconn/wire.go
@@ -58,6 +58,9 @@
 	sealed bool
 	// heard is when bytes last came in, in nanoseconds of the Unix epoch.
 	heard atomic.Int64
+	// first is closed when the first bytes came in.
+	first chan struct{}
+	once  sync.Once
 }
 
 // Write writes b unless the wire is sealed.
@@ -77,6 +80,7 @@
 	n, err := w.Conn.Read(b)
 	if n > 0 {
 		w.heard.Store(time.Now().UnixNano())
+		w.once.Do(func() { close(w.first) })
 	}
 	return n, err
 }
@@ -88,6 +92,18 @@
 	return w.written
 }
 
+// awaitFirst waits for the first bytes of the other end.
+func (w *wire) awaitFirst(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	select {
+	case <-w.first:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // seal refuses all further writes and returns how many were begun.
 func (w *wire) seal() int {
 	w.mu.Lock()
@@ -107,7 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &wire{Conn: conn}
+	w := &wire{Conn: conn, first: make(chan struct{})}
 	w.heard.Store(time.Now().UnixNano())
 	if holder, ok := ctx.Value(wireKey{}).(**wire); ok {
 		*holder = w
