qhconn: Know every request that the other node never looked at

Cause: a stream that was refused before any processing, and a request whose connection ended before it had a stream, counted as unknown. Change: both are unsent, beside the graceful shutdown; a reset with another code and a broken connection stay unknown. The node registers the guards' gauges. Failed first: not run against the old way; the refused stream was unknown by reading. Conclusion: fewer calls that must not be repeated are lost.

--- a/qhconn/peers.go
+++ b/qhconn/peers.go
@@ -108,15 +108,6 @@
 	return resp, err
 }
 
-// unprocessed is the error of a request whose stream is above the last one that
-// the other end will look at (RFC 9113, 6.8). The standard library exports no
-// value for it.
-const unprocessed = "http2: Transport received Server's graceful shutdown GOAWAY"
-
-// isUnprocessed tells whether err says that the other end never looked at the
-// request, because it is shutting down.
-func isUnprocessed(err error) bool { return err.Error() == unprocessed }
-
 // take returns a connection with one stream reserved.
 func (p *Peers) take(ctx context.Context, address qhid.Address) (*http.ClientConn, error) {
 	found, ok := p.addresses.Load(address)
--- a/qhconn/peers_test.go
+++ b/qhconn/peers_test.go
@@ -117,16 +117,21 @@
 		Expect(server.calls.Load()).To(BeEquivalentTo(1))
 	})
 
-	It("call unsent what the other end says it never looks at", func() {
+	DescribeTable("call unsent what the other end never looked at, and nothing else", func(unsent bool, answer func(*http2.Framer, uint32) error) {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		var serving sync.WaitGroup
-		serving.Go(func() { refuseAll(listener) })
+		serving.Go(func() { answerAll(listener, answer) })
 		DeferCleanup(func() { _ = listener.Close(); serving.Wait() })
 		_, err = get(newPeers(), listener.Addr().String())
 		Expect(err).To(HaveOccurred())
-		Expect(IsUnsent(err)).To(BeTrue(), err.Error())
-	})
+		Expect(IsUnsent(err)).To(Equal(unsent), err.Error())
+	},
+		Entry("a shutdown below it", true, func(f *http2.Framer, _ uint32) error { return f.WriteGoAway(0, http2.ErrCodeNo, nil) }),
+		Entry("a refused stream", true, func(f *http2.Framer, id uint32) error { return f.WriteRSTStream(id, http2.ErrCodeRefusedStream) }),
+		Entry("a reset stream", false, func(f *http2.Framer, id uint32) error { return f.WriteRSTStream(id, http2.ErrCodeProtocol) }),
+		Entry("a broken connection", false, func(*http2.Framer, uint32) error { return io.EOF }),
+	)
 
 	It("say at once that a node does not listen", func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -151,9 +156,8 @@
 	})
 })
 
-// refuseAll answers the first request on each connection with a graceful
-// shutdown that no stream is below.
-func refuseAll(listener net.Listener) {
+// answerAll answers each request with frames.
+func answerAll(listener net.Listener, answer func(*http2.Framer, uint32) error) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -161,14 +165,11 @@
 		}
 		_, _ = io.ReadFull(conn, make([]byte, len(http2.ClientPreface)))
 		framer := http2.NewFramer(conn, conn)
-		_ = framer.WriteSettings()
-		for {
-			frame, err := framer.ReadFrame()
-			if err != nil {
-				break
-			}
-			if _, ok := frame.(*http2.HeadersFrame); ok {
-				_ = framer.WriteGoAway(0, http2.ErrCodeNo, nil)
+		err = framer.WriteSettings()
+		for err == nil {
+			var frame http2.Frame
+			if frame, err = framer.ReadFrame(); err == nil && frame.Header().Type == http2.FrameHeaders {
+				err = answer(framer, frame.Header().StreamID)
 			}
 		}
 		_ = conn.Close()
--- a/qhnode/qhserve/node.go
+++ b/qhnode/qhserve/node.go
@@ -155,6 +155,7 @@
 // startProxy starts the path of a call.
 func (n *Node) startProxy(store *qhplatform.Store, stops *cleanups) {
 	guards, closeGuards := qhguard.NewSet()
+	guards.Register(n.metrics)
 	n.guards = guards
 	n.metrics.GetOrCreateGauge("qh_targets_running", func() float64 { return float64(n.load().Running) })
 	n.metrics.GetOrCreateGauge("qh_targets_queued", func() float64 { return float64(n.load().Queued) })
