qhproxy: Let headers that passed the first node pass the second one

Cause: HTTP/2 counts 32 bytes more for each header than HTTP/1.1, so a call with 500 small headers within the limit got through a node alone and was answered with 502 over two; large headers of an answer were lost after the call had run. Change: the bounds between nodes are above what the first hop lets pass. Failed first: the spec with 500 headers in and 5000 out got 502. Conclusion: both paths take the same calls.

--- a/qhconn/peers.go
+++ b/qhconn/peers.go
@@ -24,6 +24,9 @@
 	// connection has room for all its streams, so that none stalls the others.
 	streamBuffer = 256 << 10
 	connBuffer   = MaxStreams * streamBuffer
+	// HeaderGrowth bounds how much larger HTTP/2 counts headers than HTTP/1.1,
+	// since it adds 32 bytes to each.
+	HeaderGrowth = 12
 	// idlePeer is how long a connection without calls stays open.
 	idlePeer = 10 * time.Second
 	// busyStreams is how many calls a connection carries before another one is
@@ -82,7 +85,7 @@
 	peers := &Peers{group: group, transport: &http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxAnswerHeaders,
+		MaxResponseHeaderBytes: HeaderGrowth * maxAnswerHeaders,
 		IdleConnTimeout:        idlePeer,
 		Protocols:              &protocols,
 		HTTP2:                  HTTP2(),
--- a/qhproxy/input_test.go
+++ b/qhproxy/input_test.go
@@ -84,6 +84,26 @@
 		Entry("HTTP/1.0", "old", "GET /urns HTTP/1.0\r\n\r\n"),
 	)
 
+	It("with many headers passes both nodes, and so does the answer", func() {
+		f := newFleet(GinkgoTB(), route("urns", "/urns", "booking"))
+		f.settings.Headers = 4 << 10
+		n := f.node("a", "kigali-a")
+		f.node("b", "kigali-b")
+		f.target("t1", "booking", "b", 1, func(w http.ResponseWriter, r *http.Request) {
+			for name, values := range r.Header {
+				w.Header()[name] = values
+			}
+			for i := range 5000 {
+				w.Header().Set(fmt.Sprint("Y", i), "")
+			}
+		})
+		many := "GET /urns HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+		for i := range 500 {
+			many += fmt.Sprintf("X%d:\r\n", i)
+		}
+		Expect(raw(n, many+"\r\n")).To(And(HavePrefix("200 OK"), ContainSubstring("X499"), ContainSubstring("Y4999")))
+	})
+
 	It("that comes slowly is timed out and holds no slot", func() {
 		f := newFleet(GinkgoTB(), route("urns", "/urns", "booking", func(r *qhconfig.Route) { r.Timeout = qhconfig.Duration(100 * time.Millisecond) }))
 		n := f.node("a", "kigali-a")
--- a/qhproxy/server.go
+++ b/qhproxy/server.go
@@ -16,6 +16,9 @@
 	callerIdle = 2 * time.Minute
 	// nodeIdle is how long a connection of another node may lie idle.
 	nodeIdle = 30 * time.Second
+	// internalHeaders bounds what a node adds to the headers of a call in bytes,
+	// with what net/http lets pass above its bound.
+	internalHeaders = 8 << 10
 	// nodePing is how long a connection of another node may be quiet before it
 	// is pinged. The other end pings sooner while it has calls.
 	nodePing = 5 * time.Second
@@ -37,6 +40,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	server := p.server(p.Nodes(), &protocols)
 	server.IdleTimeout = nodeIdle
+	server.MaxHeaderBytes = qhconn.HeaderGrowth * (server.MaxHeaderBytes + internalHeaders)
 	server.HTTP2.SendPingTimeout = nodePing
 	return server
 }
