qhctl: List in the help of plan what each intent takes

An operator had to read the source or provoke an error to learn which fields an intent takes. The help of plan now lists them by verb, made from the same table that the check of intents reads, so that the two can not part. Ruled out: a list written by hand in the help, which ages with the first new field.

--- a/qhctl/qhcommand/plan.go
+++ b/qhctl/qhcommand/plan.go
@@ -20,7 +20,15 @@
 		Short: "Plan what a file of intents asks for, and change nothing",
 		Long: `Makes a plan of the intents in a file, JSON with comments, from the newest
 version. The plan shows what will change, where and why, and is kept on the
-platform. Nothing changes until it is confirmed.`,
+platform. Nothing changes until it is confirmed.
+
+A file has a "reason" and a list of "intents". Each says what to "do", with which
+"service", "route" or "version", and may say "why". The fields it takes:
+
+` + qhintent.Help() + `
+A shift gives from, to and percent, or all shares. A route repeats "never",
+"safe" (calls may run more than once) or "keyed" (at most once for each
+Idempotency-Key).`,
 		Example: "  qhctl plan -f shift.jsonc\n\n  // shift.jsonc\n  {\n    \"reason\": \"try the next release of booking\",\n    \"intents\": [{\"do\": \"shift\", \"route\": \"slots\", \"from\": \"booking\", \"to\": \"booking-next\", \"percent\": 10}],\n  }",
 		Args:    exactArgs(),
 	}
