qhproxy: Say which broken answers can't be told

Cause: the package comment promised whole answers without its one exception. Change: answers that end with their connection are named. No behaviour changed. Conclusion: the promise is stated as it is.

--- a/qhproxy/proxy.go
+++ b/qhproxy/proxy.go
@@ -9,6 +9,10 @@
 // out. The answer is passed on as it comes (answer.go). A call that gets no
 // answer of a target is a failure (failure.go), which the mesh answers itself
 // (refuse.go): as not run only where no byte of it was given to a target.
+//
+// An answer that breaks off is broken off towards the caller too. A target's
+// answer that neither states its length nor comes in chunks ends with its
+// connection, and can't be told from one whose target was killed.
 package qhproxy
 
 import (
