qhspread: Bring a node that holds nothing to the newest version at once

Cause: a restarted node that asked a peer got the diffs from version 0 on and put each in force in turn, so it passed through versions older than the one it had held before. Six tests of the real programs found it: with the platform down, a restarted node put version 1 in force and version 2 0.4 ms later. Ruled out: a late push; the log has both versions from one answer. Offering only the last of several diffs would leave a push of the first diff as a second way. Change: a node that holds nothing takes no diffs and asks for the whole version.

--- a/qhspread/content.go
+++ b/qhspread/content.go
@@ -48,14 +48,16 @@
 }
 
 // takeDiff takes a diff and returns whether it led to a newer version. An error
-// of kind Conflict means that the whole version has to be asked for.
+// of kind Conflict means that the whole version has to be asked for. A node that
+// holds nothing takes no diffs: it may have restarted, and would pass through
+// versions older than the one that it held before.
 func (c *content) takeDiff(diff qhconfig.Diff) (bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if diff.Next <= c.version {
 		return false, nil
 	}
-	if diff.Base != c.version {
+	if diff.Base == 0 || diff.Base != c.version {
 		return false, qherr.New(qherr.Conflict, nil, "ask for the whole version", "diff is for version %d, not %d", diff.Base, c.version)
 	}
 	digester := c.digester
