--- a/qhspread/content.go
+++ b/qhspread/content.go
@@ -49,7 +49,9 @@
 }
 
 // takeDiff takes a diff and returns whether it led to a newer version. An error
-// of kind Conflict means that the whole version has to be asked for.
+// of kind Conflict means that the whole version has to be asked for. A node that
+// holds nothing takes no diffs: it may have restarted, and would pass through
+// versions older than the one that it held before.
 func (c *content) takeDiff(diff qhconfig.Diff) (bool, error) {
 	return c.takeDiffs([]qhconfig.Diff{diff})
 }
@@ -65,7 +67,7 @@
 	}
 	version, next := c.version, c.config
 	for _, diff := range diffs {
-		if diff.Base != version {
+		if diff.Base == 0 || diff.Base != version {
 			return false, qherr.New(qherr.Conflict, nil, "ask for the whole version", "diff is for version %d, not %d", diff.Base, version)
 		}
 		version, next = diff.Next, diff.Merge(next)
