qhsite: Save the second that raced programs sleep at their end

Cause: the suite took 346 s with the race detector. Each qhctl and each node that stops slept a second at its end, the race detector's default. Ruled out: a slow start or slow stops of nodes; the same test takes 3.3 s without the race detector. Change: the suite sets the sleep to nothing for the programs that it starts.

--- a/qhsite/suite_test.go
+++ b/qhsite/suite_test.go
@@ -24,6 +24,8 @@
 	dir, err := os.MkdirTemp("", "qhsite-programs-")
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(os.RemoveAll, dir)
+	// Programs with the race detector else sleep a second when they end.
+	Expect(os.Setenv("GORACE", "atexit_sleep_ms=0")).To(Succeed())
 	args := append([]string{"build", "-o", dir}, buildFlags...)
 	cmd := exec.Command("go", append(args, "./qhnode", "./qhctl", "./qhstand")...)
 	cmd.Dir = ".."
