--- a/qhconn/peers.go
+++ b/qhconn/peers.go
@@ -24,6 +24,9 @@
 	// connection has room for all its streams, so that none stalls the others.
 	streamBuffer = 256 << 10
 	connBuffer   = MaxStreams * streamBuffer
+	// HeaderGrowth bounds how much larger HTTP/2 counts headers than HTTP/1.1,
+	// since it adds 32 bytes to each.
+	HeaderGrowth = 12
 	// idlePeer is how long a connection without calls stays open.
 	idlePeer = 10 * time.Second
 	// busyStreams is how many calls a connection carries before another one is
@@ -82,7 +85,7 @@
 	peers := &Peers{group: group, transport: &http.Transport{
 		DialContext:            dial,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxAnswerHeaders,
+		MaxResponseHeaderBytes: HeaderGrowth * maxAnswerHeaders,
 		IdleConnTimeout:        idlePeer,
 		Protocols:              &protocols,
 		HTTP2:                  HTTP2(),
@@ -108,15 +111,6 @@
 	return resp, err
 }
 
-// unprocessed is the error of a request whose stream is above the last one that
-// the other end will look at (RFC 9113, 6.8). The standard library exports no
-// value for it.
-const unprocessed = "http2: Transport received Server's graceful shutdown GOAWAY"
-
-// isUnprocessed tells whether err says that the other end never looked at the
-// request, because it is shutting down.
-func isUnprocessed(err error) bool { return err.Error() == unprocessed }
-
 // take returns a connection with one stream reserved.
 func (p *Peers) take(ctx context.Context, address qhid.Address) (*http.ClientConn, error) {
 	found, ok := p.addresses.Load(address)
--- a/qhnode/qhserve/node.go
+++ b/qhnode/qhserve/node.go
@@ -38,6 +38,8 @@
 	leaveBound = 2 * time.Second
 	// platformRate is how often a second a node calls the platform at most.
 	platformRate = 50
+	// claimKeys is the prefix of what keyed calls write to the platform.
+	claimKeys qhplatform.Key = "claim/"
 )
 
 // Options configures a node.
@@ -124,7 +126,9 @@
 func (n *Node) start(listeners listeners, stops *cleanups) error {
 	settings := n.Settings
 	self := n.entry()
-	store, closeStore := qhplatform.NewHTTP(qhplatform.HTTPOptions{Base: settings.Platform, Rate: platformRate, Metrics: n.metrics, Log: n.Log})
+	store, closeStore := qhplatform.NewHTTP(qhplatform.HTTPOptions{
+		Base: settings.Platform, Rate: platformRate, Bulk: claimKeys, Metrics: n.metrics, Log: n.Log,
+	})
 	stops.add(closeStore)
 	n.holder = qhhold.New(qhhold.Options{Node: settings.ID, Log: n.Log, Metrics: n.metrics})
 	n.members = qhmember.NewTable(qhmember.Options{Self: self, Pause: viewPause})
@@ -155,6 +159,7 @@
 // startProxy starts the path of a call.
 func (n *Node) startProxy(store *qhplatform.Store, stops *cleanups) {
 	guards, closeGuards := qhguard.NewSet()
+	guards.Register(n.metrics)
 	n.guards = guards
 	n.metrics.GetOrCreateGauge("qh_targets_running", func() float64 { return float64(n.load().Running) })
 	n.metrics.GetOrCreateGauge("qh_targets_queued", func() float64 { return float64(n.load().Queued) })
