--- a/qhspread/content.go
+++ b/qhspread/content.go
@@ -49,9 +49,7 @@
 }
 
 // takeDiff takes a diff and returns whether it led to a newer version. An error
-// of kind Conflict means that the whole version has to be asked for. A node that
-// holds nothing takes no diffs: it may have restarted, and would pass through
-// versions older than the one that it held before.
+// of kind Conflict means that the whole version has to be asked for.
 func (c *content) takeDiff(diff qhconfig.Diff) (bool, error) {
 	return c.takeDiffs([]qhconfig.Diff{diff})
 }
