qhgroup: Sleep in one place

Cause: four packages waited for a time or a context, each by its own timer. Change: qhgroup.Sleep, used by qhhead, qhctl, qhstand and the platform in memory. Ruled out: the waits of qhspread, which also wake for news.

--- a/qhctl/qhrollout/watcher.go
+++ b/qhctl/qhrollout/watcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhlease"
 	"quetzalhaven.dev/qhplatform"
@@ -87,7 +88,7 @@
 func (w *Watcher) Collect(ctx context.Context, period time.Duration) (Report, error) {
 	for {
 		report, err := w.Look(ctx)
-		if err != nil || !report.Pending() || !sleep(ctx, period) {
+		if err != nil || !report.Pending() || !qhgroup.Sleep(ctx, period) {
 			return report, err
 		}
 	}
@@ -106,20 +107,8 @@
 		} else if !looked {
 			failed = err
 		}
-		if last.Complete() || last.Stalled() || !sleep(ctx, period) {
+		if last.Complete() || last.Stalled() || !qhgroup.Sleep(ctx, period) {
 			return last, failed
 		}
 	}
 }
-
-// sleep tells whether the period passed before ctx ended.
-func sleep(ctx context.Context, period time.Duration) bool {
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/qhhead/commit.go
+++ b/qhhead/commit.go
@@ -9,6 +9,7 @@
 
 	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhplatform"
 )
@@ -59,7 +60,7 @@
 		if !try.again(err) {
 			return Head{}, try.outcome(err)
 		}
-		if !sleep(ctx, wait.NextBackOff()) {
+		if !qhgroup.Sleep(ctx, wait.NextBackOff()) {
 			break
 		}
 	}
--- a/qhhead/ensure.go
+++ b/qhhead/ensure.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhplatform"
 )
 
@@ -35,7 +36,7 @@
 		default:
 			return err
 		}
-		if !sleep(ctx, wait.NextBackOff()) {
+		if !qhgroup.Sleep(ctx, wait.NextBackOff()) {
 			break
 		}
 	}
@@ -65,15 +66,3 @@
 	wait.RandomizationFactor = fullJitter
 	return wait
 }
-
-// sleep tells whether the time passed before ctx ended.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/qhhead/prune.go
+++ b/qhhead/prune.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhplatform"
 )
@@ -116,7 +117,7 @@
 		if kind := qherr.KindOf(err); kind != qherr.Conflict && kind != qherr.Unknown {
 			return Head{}, err
 		}
-		if !sleep(ctx, wait.NextBackOff()) {
+		if !qhgroup.Sleep(ctx, wait.NextBackOff()) {
 			break
 		}
 	}
--- a/qhplatform/memory_write.go
+++ b/qhplatform/memory_write.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhid"
 )
 
@@ -115,17 +116,10 @@
 		<-ctx.Done()
 		return faults, abandoned(ctx, op, key)
 	}
-	if faults.Delay == 0 {
+	if faults.Delay == 0 || qhgroup.Sleep(ctx, time.Duration(faults.Delay)) {
 		return faults, nil
 	}
-	delay := time.NewTimer(time.Duration(faults.Delay))
-	defer delay.Stop()
-	select {
-	case <-delay.C:
-		return faults, nil
-	case <-ctx.Done():
-		return faults, abandoned(ctx, op, key)
-	}
+	return faults, abandoned(ctx, op, key)
 }
 
 // enter counts a call and refuses it above the rate.
--- a/qhstand/qhtarget/target.go
+++ b/qhstand/qhtarget/target.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/zap"
 
+	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmember"
@@ -228,15 +229,8 @@
 }
 
 func sleep(ctx context.Context, duration time.Duration) error {
-	if duration <= 0 {
+	if duration <= 0 || qhgroup.Sleep(ctx, duration) {
 		return nil
 	}
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return ctx.Err()
 }
