qhserve: Close the servers when a node is cleaned up without a stop

Cause: the clean-up waited for goroutines that serve listeners which it closed after them, so a node that was not stopped first never ended. The program always stops first; a new test of the dump did not, and hung for ten minutes. Change: servers are closed first. Failed first: the new spec hung in the clean-up until its time was over.

--- a/qhnode/qhserve/dump.go
+++ b/qhnode/qhserve/dump.go
@@ -55,7 +55,9 @@
 type GuardedTarget struct {
 	qhguard.Announcement
 	Load qhguard.Load `json:"load"`
-	Seen time.Time    `json:"seen"`
+	// Open counts the connections to the target.
+	Open int       `json:"open"`
+	Seen time.Time `json:"seen"`
 }
 
 // SeenEndpoint is an endpoint as it was announced and as this node saw it.
@@ -91,7 +93,7 @@
 		Members:   zoneMembers(view),
 		Targets:   n.guarded(),
 		Endpoints: seen(view),
-		Decisions: n.ring.Recent(dumpDecisions),
+		Decisions: append([]qhdecision.Decision{}, n.ring.Recent(dumpDecisions)...),
 		Settings:  n.Settings,
 	}
 	if n.isLeaving() {
@@ -122,7 +124,12 @@
 		if guard == nil {
 			continue
 		}
-		list = append(list, GuardedTarget{Announcement: guard.Announcement(), Load: guard.Load(), Seen: target.Seen})
+		list = append(list, GuardedTarget{
+			Announcement: guard.Announcement(),
+			Load:         guard.Load(),
+			Open:         guard.Conns().Open(),
+			Seen:         target.Seen,
+		})
 	}
 	return list
 }
--- a/qhnode/qhserve/listen.go
+++ b/qhnode/qhserve/listen.go
@@ -99,3 +99,10 @@
 		}
 	})
 }
+
+// closeServers ends servers that were not shut down, and what they serve.
+func (n *Node) closeServers() {
+	for _, server := range n.servers {
+		_ = server.Close() // its listener may be closed already
+	}
+}
--- a/qhnode/qhserve/node.go
+++ b/qhnode/qhserve/node.go
@@ -153,6 +153,7 @@
 	n.startProxy(&store, stops)
 	n.startTargets()
 	n.serve(listeners)
+	stops.add(n.closeServers)
 	return nil
 }
 
