--- a/qhspread/state.go
+++ b/qhspread/state.go
@@ -39,6 +39,7 @@
 func (s *Spreader) State() State {
 	version, digest := s.content.known()
 	state := State{
+		Links:    []LinkState{},
 		Version:  version,
 		Digest:   digest,
 		Members:  s.Members.Digest(),
