--- a/qhannounce/qhannounce.go
+++ b/qhannounce/qhannounce.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qherr"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmember"
@@ -33,6 +34,19 @@
 	Connections int `json:"connections,omitempty"`
 	// State is up, cold or leaving; empty is up.
 	State qhmember.State `json:"state,omitempty"`
+	// Born is when this life of the target began, in milliseconds of the Unix
+	// epoch; 0 where the target does not say. A later life replaces an earlier.
+	Born int64 `json:"born,omitempty"`
+	// Sequence orders the announcements of one life that says when it began.
+	Sequence qhid.Sequence `json:"seq,omitempty"`
+	// Cold is how long the target stays slow after its start.
+	Cold qhconfig.Duration `json:"cold,omitempty"`
+}
+
+// sameAs tells whether two announcements say the same of the target.
+func (a Announcement) sameAs(other Announcement) bool {
+	a.Sequence, a.Cold = other.Sequence, other.Cold
+	return a == other
 }
 
 // Target is an announced target.
@@ -61,11 +75,23 @@
 
 	mu      sync.Mutex
 	targets map[qhid.Target]Target
+	// gone has the last life of each target that was withdrawn or replaced.
+	gone map[qhid.Target]departed
+}
+
+// departed is a life of a target that has ended.
+type departed struct {
+	born int64
+	at   time.Time
 }
 
+// keepGone is how long ended lives are remembered, far above the time that an
+// announcement may be late.
+const keepGone = 2 * time.Minute
+
 // NewRegistry returns an empty registry.
 func NewRegistry(options Options) *Registry {
-	return &Registry{Options: options, targets: make(map[qhid.Target]Target)}
+	return &Registry{Options: options, targets: make(map[qhid.Target]Target), gone: make(map[qhid.Target]departed)}
 }
 
 // Put adds or renews a target. Bad announcements are of kind BadInput, and one
@@ -80,25 +106,93 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	before, known := r.targets[id]
+	if r.late(id, announcement) {
+		r.Log.Info("late announcement passed over", zap.String("target", string(id)), zap.Int64("born", announcement.Born), zap.Uint64("sequence", uint64(announcement.Sequence)))
+		return nil
+	}
+	moved := r.replace(id, announcement)
 	if !known && len(r.targets) >= MaxTargets {
 		return qherr.New(qherr.Refused, nil, "stop a target of this VM first", "target %q is one over the %d that a node guards", id, MaxTargets)
 	}
 	r.targets[id] = Target{ID: id, Announcement: announcement, Seen: r.Now()}
-	if !known || before.Announcement != announcement {
+	if moved || !known || !before.sameAs(announcement) {
 		r.Log.Info("target announced", zap.String("target", string(id)), zap.String("service", string(announcement.Service)), zap.String("state", string(announcement.State)))
 		r.changed()
 	}
 	return nil
 }
 
+// late tells whether the announcement is of an earlier life of the target or of
+// its address, or was overtaken by a later one. The lock is held.
+func (r *Registry) late(id qhid.Target, announcement Announcement) bool {
+	if announcement.Born == 0 {
+		return false
+	}
+	if gone, ok := r.gone[id]; ok && announcement.Born <= gone.born {
+		return true
+	}
+	if before, ok := r.targets[id]; ok {
+		if announcement.Born < before.Born || announcement.Born == before.Born && announcement.Sequence <= before.Sequence {
+			return true
+		}
+	}
+	for other, target := range r.targets {
+		if other != id && target.Address == announcement.Address && target.Born > announcement.Born {
+			return true
+		}
+	}
+	return false
+}
+
+// replace drops other targets that had the address in an earlier life, and
+// tells whether there were any. The lock is held.
+func (r *Registry) replace(id qhid.Target, announcement Announcement) bool {
+	if announcement.Born == 0 {
+		return false
+	}
+	replaced := false
+	for other, target := range r.targets {
+		if other != id && target.Address == announcement.Address {
+			r.bury(other, target.Born)
+			replaced = true
+			r.Log.Info("target replaced at its address", zap.String("target", string(other)), zap.String("by", string(id)))
+		}
+	}
+	return replaced
+}
+
+// bury takes a target out and remembers its life. The lock is held.
+func (r *Registry) bury(id qhid.Target, born int64) {
+	delete(r.targets, id)
+	if born > 0 {
+		r.gone[id] = departed{born: born, at: r.Now()}
+	}
+}
+
+// Withdraw is Drop for a target that says when its life began: a withdrawal of
+// an earlier life has no effect, and later announcements of this one neither.
+func (r *Registry) Withdraw(id qhid.Target, born int64) {
+	r.mu.Lock()
+	known, ok := r.targets[id]
+	stale := ok && born != 0 && born < known.Born
+	if !ok && born > r.gone[id].born {
+		r.gone[id] = departed{born: born, at: r.Now()}
+	}
+	r.mu.Unlock()
+	if !stale {
+		r.Drop(id)
+	}
+}
+
 // Drop removes a target. Dropping one that is not there has no effect.
 func (r *Registry) Drop(id qhid.Target) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, known := r.targets[id]; !known {
+	known, ok := r.targets[id]
+	if !ok {
 		return
 	}
-	delete(r.targets, id)
+	r.bury(id, known.Born)
 	r.Log.Info("target withdrawn", zap.String("target", string(id)))
 	r.changed()
 }
@@ -108,6 +202,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	oldest := r.Now().Add(-r.Lapse)
+	for id, gone := range r.gone {
+		if r.Now().Sub(gone.at) > keepGone {
+			delete(r.gone, id)
+		}
+	}
 	lapsed := false
 	for id, target := range r.targets {
 		if !target.Seen.Before(oldest) {
--- a/qhconfig/check.go
+++ b/qhconfig/check.go
@@ -63,5 +63,6 @@
 		check.order("route", string(c.Routes[i-1].Name), string(c.Routes[i].Name))
 	}
 	check.overlaps(c.Routes)
+	check.bounds(c.Limits)
 	return check.problems
 }
--- a/qhconfig/checker.go
+++ b/qhconfig/checker.go
@@ -118,15 +118,17 @@
 
 func (c *checker) shares(shares []Share) {
 	c.count("shares", len(shares), MaxShares)
+	if slices.ContainsFunc(shares, func(s Share) bool { return s.Weight != 0 }) {
+		c.weights(shares)
+		return
+	}
 	var total qhid.Percent
 	for i, share := range shares {
 		if i > 0 {
 			checkOrdered(c, "share of service", []qhid.Service{shares[i-1].Service, share.Service})
 		}
 		total += share.Percent
-		if !c.services[share.Service] {
-			c.add("add the service first or name another", "service %q does not exist", clip(string(share.Service)))
-		}
+		c.shared(share)
 		if share.Percent < 1 || share.Percent > WholeShare {
 			c.add("set it between 1 and 100, or leave the service out", "share %d of service %q is out of bounds",
 				share.Percent, clip(string(share.Service)))
@@ -137,6 +139,27 @@
 	}
 }
 
+// shared checks that the service of a share exists.
+func (c *checker) shared(share Share) {
+	if !c.services[share.Service] {
+		c.add("add the service first or name another", "service %q does not exist", clip(string(share.Service)))
+	}
+}
+
+// weights checks shares that are given as weights.
+func (c *checker) weights(shares []Share) {
+	for i, share := range shares {
+		if i > 0 {
+			checkOrdered(c, "share of service", []qhid.Service{shares[i-1].Service, share.Service})
+		}
+		c.shared(share)
+		if share.Weight < 1 || share.Weight > MaxWeight || share.Percent != 0 {
+			c.add(fmt.Sprintf("give every share of the route a weight between 1 and %d and no percent", MaxWeight),
+				"weight %d of service %q does not go with the other shares", share.Weight, clip(string(share.Service)))
+		}
+	}
+}
+
 func (c *checker) repeat(repeat Repeat) {
 	switch repeat {
 	case RepeatNever, RepeatSafe, RepeatKeyed:
@@ -152,6 +175,9 @@
 		c.add("shorten the silence or lengthen the timeout", "silence %s is longer than timeout %s", r.Silence, r.Timeout)
 	}
 	c.within("body", int64(r.Body), int64(MaxBody))
+	c.within("priority", int64(r.Priority), MaxPriority)
+	c.within("attempts", int64(r.Attempts), MaxAttempts)
+	c.duration("objective", r.Objective)
 }
 
 func (c *checker) duration(field string, value Duration) {
@@ -198,3 +224,12 @@
 	}
 	return slices.ContainsFunc(a, func(method string) bool { return slices.Contains(b, method) })
 }
+
+// bounds checks the limits of callers.
+func (c *checker) bounds(limits Limits) {
+	c.at("", "")
+	c.within("limits.headers", int64(limits.Headers), int64(MaxBody))
+	c.within("limits.body", int64(limits.Body), int64(MaxBody))
+	c.duration("limits.header", limits.Header)
+	c.duration("limits.idle", limits.Idle)
+}
--- a/qhconfig/config.go
+++ b/qhconfig/config.go
@@ -15,6 +15,20 @@
 	Services []Service `json:"services"`
 	// Routes are ordered by name, each name once.
 	Routes []Route `json:"routes"`
+	// Limits bounds what callers may send.
+	Limits Limits `json:"limits,omitzero"`
+}
+
+// Limits bounds what callers may send and how long they may take; 0 is unset.
+type Limits struct {
+	// Headers bounds the size of a request's headers.
+	Headers qhid.Bytes `json:"headers,omitempty"`
+	// Body bounds the size of a request's body on routes that set none.
+	Body qhid.Bytes `json:"body,omitempty"`
+	// Header bounds the time until the headers of a request are in.
+	Header Duration `json:"header,omitempty"`
+	// Idle bounds the time that a connection may lie idle.
+	Idle Duration `json:"idle,omitempty"`
 }
 
 // Service is a set of targets that answer the same calls.
@@ -41,7 +55,8 @@
 	Prefix string `json:"prefix"`
 	// Methods are in upper case and ordered; none matches every method.
 	Methods []string `json:"methods,omitempty"`
-	// Shares add up to 100 and name existing services, ordered by service.
+	// Shares name existing services, ordered by service. They add up to 100, or
+	// all have weights.
 	Shares []Share `json:"shares"`
 	// Repeat says which calls of the route may be repeated.
 	Repeat Repeat `json:"repeat,omitempty"`
@@ -51,14 +66,25 @@
 	Silence Duration `json:"silence,omitempty"`
 	// Body bounds the size of a request's body.
 	Body qhid.Bytes `json:"body,omitempty"`
+	// Priority ranks the calls of a service; 0 is the most urgent.
+	Priority int `json:"priority,omitempty"`
+	// Objective is the time within which an answer is of full use to its caller.
+	Objective Duration `json:"objective,omitempty"`
+	// Attempts bounds the targets that one call may be sent to; 0 is unset.
+	Attempts int `json:"attempts,omitempty"`
 }
 
 // Share is the part of a route's calls that goes to a service.
 type Share struct {
 	Service qhid.Service `json:"service"`
-	Percent qhid.Percent `json:"percent"`
+	Percent qhid.Percent `json:"percent,omitempty"`
+	// Weight is the share in relation to the other weights of the route.
+	Weight int `json:"weight,omitempty"`
 }
 
+// Size returns the share in the unit that all shares of its route have.
+func (s Share) Size() int { return max(int(s.Percent), s.Weight) }
+
 // Repeat says when a call may be sent again.
 type Repeat string
 
--- a/qhconfig/diff.go
+++ b/qhconfig/diff.go
@@ -24,11 +24,13 @@
 	NoServices []qhid.Service `json:"noservices,omitempty"`
 	// NoRoutes were removed. Ordered.
 	NoRoutes []qhid.Route `json:"noroutes,omitempty"`
+	// Limits are the new ones; nil where they did not change.
+	Limits *Limits `json:"limits,omitempty"`
 }
 
 // Empty tells whether the diff changes nothing.
 func (d Diff) Empty() bool {
-	return len(d.Services)+len(d.Routes)+len(d.NoServices)+len(d.NoRoutes) == 0
+	return len(d.Services)+len(d.Routes)+len(d.NoServices)+len(d.NoRoutes) == 0 && d.Limits == nil
 }
 
 // Compare returns what turns base into next. Both are in canonical order. The
@@ -39,6 +41,9 @@
 		func(s *Service) qhid.Service { return s.Name }, (*Service).Equal)
 	diff.Routes, diff.NoRoutes = compare(base.Routes, next.Routes,
 		func(r *Route) qhid.Route { return r.Name }, (*Route).Equal)
+	if base.Limits != next.Limits {
+		diff.Limits = &next.Limits
+	}
 	return diff
 }
 
@@ -86,10 +91,15 @@
 // changed. The two share what stayed the same, so that neither may be changed
 // afterwards.
 func (d Diff) Merge(base Config) Config {
-	return Config{
+	next := Config{
+		Limits:   base.Limits,
 		Services: merge(base.Services, d.Services, d.NoServices, func(s *Service) qhid.Service { return s.Name }),
 		Routes:   merge(base.Routes, d.Routes, d.NoRoutes, func(r *Route) qhid.Route { return r.Name }),
 	}
+	if d.Limits != nil {
+		next.Limits = *d.Limits
+	}
+	return next
 }
 
 // merge returns base with the changed entries put in and the others taken out.
--- a/qhconfig/digest.go
+++ b/qhconfig/digest.go
@@ -12,7 +12,7 @@
 type sum [sha256.Size]byte
 
 // Digest returns the SHA-256 sum over the sums of the services and then of the
-// routes, in their order.
+// routes, in their order, and of the limits where there are any.
 func (c Config) Digest() qhid.Digest {
 	var digester Digester
 	return digester.Digest(c)
@@ -39,6 +39,10 @@
 	for i := range d.routes.sums {
 		_, _ = hash.Write(d.routes.sums[i][:])
 	}
+	if config.Limits != (Limits{}) {
+		limits := sumOf(&config.Limits)
+		_, _ = hash.Write(limits[:])
+	}
 	return qhid.Digest(hex.EncodeToString(hash.Sum(nil)))
 }
 
--- a/qhconfig/equal.go
+++ b/qhconfig/equal.go
@@ -21,5 +21,8 @@
 		r.Repeat == other.Repeat &&
 		r.Timeout == other.Timeout &&
 		r.Silence == other.Silence &&
-		r.Body == other.Body
+		r.Body == other.Body &&
+		r.Priority == other.Priority &&
+		r.Objective == other.Objective &&
+		r.Attempts == other.Attempts
 }
--- a/qhconfig/limit.go
+++ b/qhconfig/limit.go
@@ -20,6 +20,9 @@
 	MaxSlots       = 100_000
 	MaxQueue       = 1_000_000
 	MaxConnections = 1_000_000
+	MaxPriority    = 1_000
+	MaxAttempts    = 16
+	MaxWeight      = 1_000_000
 	// MaxTimeout bounds the timeout and the silence of a route.
 	MaxTimeout = Duration(time.Hour)
 	// MaxBody bounds the body of a route's requests.
--- a/qhconfig/order.go
+++ b/qhconfig/order.go
@@ -22,7 +22,7 @@
 	}
 	slices.SortFunc(services, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
-	return Config{Services: services, Routes: routes}
+	return Config{Services: services, Routes: routes, Limits: c.Limits}
 }
 
 func sorted[T cmp.Ordered](values []T) []T {
--- a/qhhead/part.go
+++ b/qhhead/part.go
@@ -28,6 +28,8 @@
 type part struct {
 	Services []qhconfig.Service `json:"services,omitempty"`
 	Routes   []qhconfig.Route   `json:"routes,omitempty"`
+	// Limits stand in the first part only.
+	Limits qhconfig.Limits `json:"limits,omitzero"`
 }
 
 // encoded is an object with the digest that it is stored under.
@@ -77,6 +79,7 @@
 		p := &parts[bucket(string(service.Name), buckets)]
 		p.Services = append(p.Services, service)
 	}
+	parts[0].Limits = config.Limits
 	for _, route := range config.Routes {
 		p := &parts[bucket(string(route.Name), buckets)]
 		p.Routes = append(p.Routes, route)
@@ -103,6 +106,9 @@
 	for _, p := range parts {
 		config.Services = append(config.Services, p.Services...)
 		config.Routes = append(config.Routes, p.Routes...)
+		if p.Limits != (qhconfig.Limits{}) {
+			config.Limits = p.Limits
+		}
 	}
 	slices.SortFunc(config.Services, func(a, b qhconfig.Service) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(config.Routes, func(a, b qhconfig.Route) int { return cmp.Compare(a.Name, b.Name) })
--- a/qhheader/qhheader.go
+++ b/qhheader/qhheader.go
@@ -47,6 +47,8 @@
 	// NodeTook is how long the target took until its answer began, in whole
 	// microseconds.
 	NodeTook = Internal + "Took"
+	// NodeCaller is the service on whose VM the call began.
+	NodeCaller = Internal + "Caller"
 	// NodeLoad is how many calls the target has running and queued.
 	NodeLoad = Internal + "Load"
 )
--- a/qhmember/table.go
+++ b/qhmember/table.go
@@ -153,6 +153,24 @@
 	return known, true
 }
 
+// Forget takes out a node that is known to be gone, if nothing later than the
+// judged incarnation was heard of it, and tells whether it did.
+func (t *Table) Forget(node qhid.Node, judged qhid.Incarnation) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known, ok := t.entries[node]
+	if !ok || node == t.self || known.Incarnation > judged {
+		return false
+	}
+	t.digests[known.Zone] -= digestOf(known)
+	if _, ok := t.stale[node]; !ok {
+		t.stale[node] = known
+	}
+	delete(t.entries, node)
+	t.show()
+	return true
+}
+
 // put stores an entry with its digest.
 func (t *Table) put(entry Entry) {
 	known, ok := t.entries[entry.Node]
--- a/qhmember/view.go
+++ b/qhmember/view.go
@@ -136,7 +136,11 @@
 func (t *Table) list(old []Entry) []Entry {
 	fresh := make([]Entry, 0, len(t.stale))
 	for node := range t.stale {
-		fresh = append(fresh, t.entries[node])
+		if entry, ok := t.entries[node]; ok {
+			fresh = append(fresh, entry)
+			continue
+		}
+		old = slices.DeleteFunc(slices.Clone(old), func(entry Entry) bool { return entry.Node == node })
 	}
 	slices.SortFunc(fresh, byNode)
 	entries := make([]Entry, 0, len(t.entries))
--- a/qhnode/main.go
+++ b/qhnode/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"quetzalhaven.dev/platform"
 	"quetzalhaven.dev/qherr"
 	"quetzalhaven.dev/qhlog"
 	"quetzalhaven.dev/qhnode/qhserve"
@@ -86,6 +87,9 @@
 	command.Args = noArgs
 	path := settingsFlag(command)
 	command.RunE = func(command *cobra.Command, _ []string) error {
+		if *path == "" {
+			*path = platform.SettingsPath()
+		}
 		if *path == "" {
 			return qherr.New(qherr.BadInput, nil, "name the file by --settings FILE", "%s needs settings", command.CommandPath())
 		}
--- a/qhnode/qhserve/dump.go
+++ b/qhnode/qhserve/dump.go
@@ -89,7 +89,7 @@
 		State:     qhmember.Up,
 		Ready:     "yes",
 		Held:      n.held(),
-		Spread:    n.spreader.State(),
+		Spread:    n.source.state(),
 		Members:   zoneMembers(view),
 		Targets:   n.guarded(),
 		Endpoints: seen(view),
--- a/qhnode/qhserve/listen.go
+++ b/qhnode/qhserve/listen.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"quetzalhaven.dev/platform"
 	"quetzalhaven.dev/qherr"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhoperate"
@@ -27,6 +28,8 @@
 // listeners has the open listeners of a node.
 type listeners struct {
 	callers, calls, peers, targets, operators net.Listener
+	// ready is nil where there are no health checks.
+	ready net.Listener
 }
 
 // listen opens all listeners, or none.
@@ -45,7 +48,11 @@
 		{"peers", settings.Peers, &opened.peers},
 		{"targets", settings.Targets, &opened.targets},
 		{"operators", settings.Operators, &opened.operators},
+		{"ready", settings.Ready, &opened.ready},
 	} {
+		if want.address == "" {
+			continue
+		}
 		listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", string(want.address))
 		if err != nil {
 			stops.run()
@@ -61,7 +68,7 @@
 func (n *Node) serve(on listeners) {
 	operators := qhoperate.New(qhoperate.Options{
 		Dump:    func() any { return n.Dump() },
-		Summary: n.spreader.Summary,
+		Summary: n.source.summary,
 		Ready:   n.Ready,
 		Explain: func(id qhid.Request) any { return n.ring.Find(id) },
 		View:    n.members.View,
@@ -70,8 +77,14 @@
 	})
 	n.serveOn(on.callers, n.proxy.CallersServer())
 	n.serveOn(on.calls, n.proxy.NodesServer())
-	n.serveOn(on.targets, adminServer(n.targets.Handler()))
+	n.serveOn(on.targets, adminServer(n.targetsHandler()))
 	n.serveOn(on.operators, adminServer(operators.Handler()))
+	if on.ready != nil {
+		n.serveOn(on.ready, adminServer(platform.Ready(n.Ready)))
+	}
+	if n.source.peers != nil {
+		n.serveOn(on.peers, adminServer(n.source.peers))
+	}
 }
 
 func adminServer(handler http.Handler) *http.Server {
--- a/qhnode/qhserve/node.go
+++ b/qhnode/qhserve/node.go
@@ -17,14 +17,12 @@
 	"quetzalhaven.dev/qherr"
 	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhguard"
-	"quetzalhaven.dev/qhhead"
 	"quetzalhaven.dev/qhhold"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmember"
 	"quetzalhaven.dev/qhplatform"
 	"quetzalhaven.dev/qhproxy"
 	"quetzalhaven.dev/qhsetting"
-	"quetzalhaven.dev/qhspread"
 )
 
 const (
@@ -62,7 +60,7 @@
 	targets  *qhannounce.Registry
 	ring     *qhdecision.Ring
 	proxy    *qhproxy.Proxy
-	spreader *qhspread.Spreader
+	source   source
 	group    *qhgroup.Group
 	servers  []*http.Server
 	// drained is closed by the first drain through the operators' API.
@@ -126,30 +124,16 @@
 func (n *Node) start(listeners listeners, stops *cleanups) error {
 	settings := n.Settings
 	self := n.entry()
-	store, closeStore := qhplatform.NewHTTP(qhplatform.HTTPOptions{
-		Base: settings.Platform, Rate: platformRate, Bulk: claimKeys, Metrics: n.metrics, Log: n.Log,
-	})
+	store, closeStore := qhplatform.NewHTTP(n.storeOptions())
 	stops.add(closeStore)
 	n.holder = qhhold.New(qhhold.Options{Node: settings.ID, Log: n.Log, Metrics: n.metrics})
 	n.members = qhmember.NewTable(qhmember.Options{Self: self, Pause: viewPause})
-	spreader, stopSpreader, err := qhspread.New(n.group.Context(), qhspread.Options{
-		Self:      self,
-		Operators: settings.Announced().Operators,
-		Settings:  settings.Spread,
-		Seeds:     settings.Seeds,
-		Store:     store,
-		Chain:     qhhead.New(qhhead.Options{Store: store}),
-		Holder:    n.holder,
-		Members:   n.members,
-		Listener:  listeners.peers,
-		Log:       n.Log,
-		Metrics:   n.metrics,
-	})
+	source, stopSource, err := n.startSource(store, listeners.peers)
 	if err != nil {
 		return err
 	}
-	n.spreader = spreader
-	stops.add(stopSpreader)
+	n.source = source
+	stops.add(stopSource)
 	n.startProxy(&store, stops)
 	n.startTargets()
 	n.serve(listeners)
@@ -176,6 +160,8 @@
 		Log:      n.Log,
 		Metrics:  n.metrics,
 		Store:    store,
+		Dialect:  n.dialect(),
+		Beside:   n.beside,
 	})
 	n.proxy = proxy
 	stops.add(stopProxy)
@@ -184,7 +170,7 @@
 // startTargets takes announcements and drops those that lapse.
 func (n *Node) startTargets() {
 	n.targets = qhannounce.NewRegistry(qhannounce.Options{
-		Lapse:   announceLapse,
+		Lapse:   n.lapse(),
 		Now:     time.Now,
 		Changed: n.targetsChanged,
 		Log:     n.Log,
@@ -214,7 +200,7 @@
 		return qherr.New(qherr.Unavailable, nil, "call another node", "node %s is leaving", n.Settings.ID)
 	}
 	select {
-	case <-n.spreader.Ready():
+	case <-n.source.ready:
 	default:
 		return qherr.New(qherr.Unavailable, nil, "wait", "node %s still asks platform and peers for the newest version", n.Settings.ID)
 	}
@@ -237,6 +223,6 @@
 			n.Log.Warn("listener did not close", zap.Error(err))
 		}
 	}
-	n.spreader.Leave(ctx)
+	n.source.leave(ctx)
 	n.Log.Info("node stopped", zap.Int("cut", drained.Cut))
 }
--- /dev/null
+++ b/qhnode/qhserve/source.go
@@ -0,0 +1,129 @@
+package qhserve
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"quetzalhaven.dev/platform"
+	"quetzalhaven.dev/qhdialect"
+	"quetzalhaven.dev/qhfeed"
+	"quetzalhaven.dev/qhhead"
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
+	"quetzalhaven.dev/qhplatform"
+	"quetzalhaven.dev/qhspread"
+	"quetzalhaven.dev/qhstatus"
+)
+
+const (
+	// storeRate is how often a second a node calls a store that all nodes watch.
+	storeRate = 10
+	// storeWait is how long a watch of such a store is held.
+	storeWait = 20 * time.Second
+	// lapseBeats is how many announcements in a row a target may miss.
+	lapseBeats = 4
+)
+
+// source is where a node gets versions and members from.
+type source struct {
+	// ready is closed once the node knows what others have.
+	ready    <-chan struct{}
+	announce func(state qhmember.State, targets []qhmember.Target)
+	leave    func(ctx context.Context)
+	summary  func() qhstatus.Summary
+	state    func() qhspread.State
+	// peers answers other nodes over HTTP; nil where the source has its own listener.
+	peers http.Handler
+}
+
+// startSource starts what the settings ask for: a feed where each node watches
+// the store by itself, else the tree.
+func (n *Node) startSource(store qhplatform.Store, peers net.Listener) (source, func(), error) {
+	if n.Settings.Store != nil {
+		from, stop := n.startFeed(store)
+		return from, stop, nil
+	}
+	spreader, stop, err := qhspread.New(n.group.Context(), qhspread.Options{
+		Self:      n.members.Self(),
+		Operators: n.Settings.Announced().Operators,
+		Settings:  n.Settings.Spread,
+		Seeds:     n.Settings.Seeds,
+		Store:     store,
+		Chain:     qhhead.New(qhhead.Options{Store: store}),
+		Holder:    n.holder,
+		Members:   n.members,
+		Listener:  peers,
+		Log:       n.Log,
+		Metrics:   n.metrics,
+	})
+	if err != nil {
+		return source{}, nil, err
+	}
+	return source{
+		ready:    spreader.Ready(),
+		announce: spreader.Announce,
+		leave:    spreader.Leave,
+		summary:  spreader.Summary,
+		state:    spreader.State,
+	}, stop, nil
+}
+
+func (n *Node) startFeed(store qhplatform.Store) (source, func()) {
+	feed, stop := qhfeed.New(qhfeed.Options{
+		Config:  platform.ConfigKey,
+		Decode:  platform.DecodeConfig,
+		Store:   store,
+		Holder:  n.holder,
+		Members: n.members,
+		Seeds:   func() []qhid.Address { return n.Settings.Seeds },
+		Log:     n.Log,
+		Metrics: n.metrics,
+	})
+	return source{
+		ready:    feed.Ready(),
+		announce: feed.Announce,
+		leave:    feed.Leave,
+		summary:  func() qhstatus.Summary { return qhstatus.Summary{} },
+		state:    func() qhspread.State { return qhspread.State{} },
+		peers:    feed.Handler(),
+	}, stop
+}
+
+// storeOptions returns how the platform's objects are reached.
+func (n *Node) storeOptions() qhplatform.HTTPOptions {
+	options := qhplatform.HTTPOptions{Base: n.Settings.Platform, Rate: platformRate, Bulk: claimKeys, Metrics: n.metrics, Log: n.Log}
+	if n.Settings.Store != nil {
+		options.Base, options.Rate, options.Bulk = n.Settings.Store.Address, storeRate, ""
+		options.Wire, options.Wait = platform.Wire(), storeWait
+	}
+	return options
+}
+
+func (n *Node) dialect() qhdialect.Dialect {
+	if n.Settings.Store != nil {
+		return platform.Dialect()
+	}
+	return qhdialect.Own()
+}
+
+// beside returns the service whose target is on this VM.
+func (n *Node) beside() qhid.Service {
+	if n.Settings.Beside == nil {
+		return ""
+	}
+	return n.Settings.Beside.Service
+}
+
+func (n *Node) targetsHandler() http.Handler {
+	if n.Settings.Store != nil {
+		return platform.Targets(n.targets)
+	}
+	return n.targets.Handler()
+}
+
+// lapse returns after how long without an announcement a target is dropped.
+func (n *Node) lapse() time.Duration {
+	return max(announceLapse, lapseBeats*time.Duration(n.Settings.Bounds.Beat))
+}
--- a/qhnode/qhserve/targets.go
+++ b/qhnode/qhserve/targets.go
@@ -38,7 +38,7 @@
 	for _, target := range targets {
 		members = append(members, qhmember.Target{ID: target.ID, Service: target.Service, State: target.State, Slots: target.Slots})
 	}
-	n.spreader.Announce(n.state, members)
+	n.source.announce(n.state, members)
 }
 
 // leave tells the others that the node takes no new work.
--- a/qhplatform/counts.go
+++ b/qhplatform/counts.go
@@ -17,10 +17,14 @@
 	OpDelete Operation = "delete"
 	OpList   Operation = "list"
 	OpWatch  Operation = "watch"
+	OpFollow Operation = "follow"
 )
 
 func (o Operation) writes() bool { return o == OpCreate || o == OpUpdate || o == OpDelete }
 
+// waits tells whether the platform holds the call until something changes.
+func (o Operation) waits() bool { return o == OpWatch || o == OpFollow }
+
 // Counts is what a Memory was asked. A watch counts as one call however long it waits.
 type Counts struct {
 	// Calls counts by operation, refused ones included.
--- a/qhplatform/handler.go
+++ b/qhplatform/handler.go
@@ -61,15 +61,48 @@
 }
 
 func (h *handler) list(w http.ResponseWriter, r *http.Request) {
-	objects, err := h.store.List(r.Context(), Key(r.URL.Query().Get("prefix")))
+	prefix := Key(r.URL.Query().Get("prefix"))
+	if r.URL.Query().Has("watch") {
+		h.follow(w, r, prefix)
+		return
+	}
+	listing, err := h.store.ListAt(r.Context(), prefix)
 	if err != nil {
 		answerError(w, err)
 		return
 	}
-	if objects == nil {
-		objects = []Object{}
+	if listing.Objects == nil {
+		listing.Objects = []Object{}
 	}
-	answer(w, objects)
+	if r.URL.Query().Has("at") {
+		answer(w, listing)
+		return
+	}
+	answer(w, listing.Objects)
+}
+
+func (h *handler) follow(w http.ResponseWriter, r *http.Request, prefix Key) {
+	after, bound, err := h.wait(r)
+	if err != nil {
+		answerError(w, err)
+		return
+	}
+	changes, err := h.memory.follow(r.Context(), prefix, after, bound)
+	if err != nil {
+		answerError(w, err)
+		return
+	}
+	answer(w, changes)
+}
+
+// wait returns what a watch goes on from and how long it may be held.
+func (h *handler) wait(r *http.Request) (Revision, time.Duration, error) {
+	after, err := parseRevision(r.URL.Query().Get("watch"))
+	bound := h.memory.watch
+	if wait, err := time.ParseDuration(r.URL.Query().Get("wait")); err == nil {
+		bound = min(bound, max(0, wait))
+	}
+	return after, bound, err
 }
 
 func (h *handler) get(w http.ResponseWriter, r *http.Request) {
@@ -91,15 +124,11 @@
 }
 
 func (h *handler) watch(w http.ResponseWriter, r *http.Request, key Key) {
-	after, err := parseRevision(r.URL.Query().Get("watch"))
+	after, bound, err := h.wait(r)
 	if err != nil {
 		answerError(w, err)
 		return
 	}
-	bound := h.memory.watch
-	if wait, err := time.ParseDuration(r.URL.Query().Get("wait")); err == nil {
-		bound = min(bound, max(0, wait))
-	}
 	object, err := h.memory.wait(r.Context(), key, after, bound)
 	if qherr.Is(err, qherr.NotFound) {
 		w.WriteHeader(http.StatusNotModified)
--- a/qhplatform/http.go
+++ b/qhplatform/http.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -23,6 +22,11 @@
 	// bulkShare is the part of the rate that bulk keys may use.
 	bulkShare   = 0.8
 	idleTimeout = 5 * time.Second
+	// probeIdle, probeInterval and probeCount find connections that went silent
+	// while a call waits on them.
+	probeIdle     = time.Second
+	probeInterval = 500 * time.Millisecond
+	probeCount    = 3
 )
 
 // HTTPOptions are the options of NewHTTP. Base is required.
@@ -47,6 +51,8 @@
 	Tries uint
 	// Connections bounds the open connections for calls, and for watches; 4 where it is 0.
 	Connections int
+	// Wire is how calls are encoded; the object API's own where it is nil.
+	Wire *Wire
 	// Metrics may be nil.
 	Metrics *metrics.Set
 	// Log may be nil.
@@ -84,6 +90,8 @@
 		Update: c.update,
 		Delete: c.delete,
 		List:   c.list,
+		ListAt: c.listAt,
+		Follow: c.follow,
 		Watch:  c.watch,
 	}
 	return store, func() {
@@ -100,6 +108,9 @@
 	opts.Burst = orDefault(opts.Burst, max(1, int(opts.Rate)))
 	opts.Tries = orDefault(opts.Tries, defaultTries)
 	opts.Connections = orDefault(opts.Connections, defaultConns)
+	if opts.Wire == nil {
+		opts.Wire = ownWire()
+	}
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewSet()
 	}
@@ -120,7 +131,9 @@
 // newHTTPClient returns a client that follows no redirects, since a redirect
 // would send a write again.
 func newHTTPClient(connections int) *http.Client {
-	dialer := &net.Dialer{Timeout: defaultTimeout}
+	dialer := &net.Dialer{Timeout: defaultTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
+	}}
 	return &http.Client{
 		Transport: &http.Transport{
 			DialContext:         dialer.DialContext,
@@ -135,54 +148,91 @@
 
 func (c *client) get(ctx context.Context, key Key) (Object, error) {
 	return retry(ctx, c, func() (Object, error) {
-		return decoded[Object](c.call(ctx, request{op: OpGet, key: key}))
+		body, err := c.call(ctx, Call{Op: OpGet, Key: key})
+		if err != nil {
+			return Object{}, err
+		}
+		return readable(c.Wire.Object(key, body))
 	})
 }
 
 func (c *client) list(ctx context.Context, prefix Key) ([]Object, error) {
-	query := url.Values{"prefix": {string(prefix)}}
-	return retry(ctx, c, func() ([]Object, error) {
-		return decoded[[]Object](c.call(ctx, request{op: OpList, key: prefix, query: query}))
-	})
+	listing, err := c.listAt(ctx, prefix)
+	return listing.Objects, err
+}
+
+// listAt reads all parts of a listing. What changes between two parts is among
+// the changes after the revision of the first.
+func (c *client) listAt(ctx context.Context, prefix Key) (Listing, error) {
+	var whole Listing
+	for after := Key(""); ; {
+		part, err := retry(ctx, c, func() (Listing, error) {
+			body, err := c.call(ctx, Call{Op: OpList, Key: prefix, After: after})
+			if err != nil {
+				return Listing{}, err
+			}
+			return readable(c.Wire.Listing(prefix, body))
+		})
+		if err != nil {
+			return Listing{}, err
+		}
+		if after == "" {
+			whole.At = part.At
+		}
+		whole.Objects = append(whole.Objects, part.Objects...)
+		if part.More == "" || part.More == after {
+			return whole, nil
+		}
+		after = part.More
+	}
 }
 
 func (c *client) create(ctx context.Context, key Key, value []byte) (Revision, error) {
-	return c.write(ctx, request{op: OpCreate, key: key, value: value})
+	return c.write(ctx, Call{Op: OpCreate, Key: key, Value: value})
 }
 
 func (c *client) update(ctx context.Context, key Key, value []byte, at Revision) (Revision, error) {
-	return c.write(ctx, request{op: OpUpdate, key: key, value: value, at: at})
+	return c.write(ctx, Call{Op: OpUpdate, Key: key, Value: value, At: at})
 }
 
 func (c *client) delete(ctx context.Context, key Key, at Revision) error {
-	_, err := c.write(ctx, request{op: OpDelete, key: key, at: at})
+	_, err := c.write(ctx, Call{Op: OpDelete, Key: key, At: at})
 	return err
 }
 
-func (c *client) write(ctx context.Context, req request) (Revision, error) {
-	if err := checkValue(req.key, req.value); err != nil {
+func (c *client) write(ctx context.Context, call Call) (Revision, error) {
+	if err := checkValue(call.Key, call.Value); err != nil {
 		return 0, err
 	}
-	body, err := c.call(ctx, req)
+	body, err := c.call(ctx, call)
 	if err != nil {
 		return 0, err
 	}
-	object, err := decoded[Object](body, nil)
+	object, err := c.Wire.Object(call.Key, body)
 	if err != nil {
-		return 0, lostAnswer(err, req.op, req.key)
+		return 0, lostAnswer(err, call.Op, call.Key)
 	}
 	return object.Revision, nil
 }
 
 // watch waits for one bounded time. Whoever watches asks again after NotFound.
 func (c *client) watch(ctx context.Context, key Key, after Revision) (Object, error) {
-	query := url.Values{
-		"watch": {strconv.FormatUint(uint64(after), 10)},
-		"wait":  {c.Wait.String()},
+	body, err := c.call(ctx, Call{Op: OpWatch, Key: key, At: after, Wait: c.Wait})
+	if err != nil {
+		return Object{}, err
 	}
-	object, err := decoded[Object](c.call(ctx, request{op: OpWatch, key: key, query: query}))
+	object, err := readable(c.Wire.Object(key, body))
 	if err == nil && object.Revision <= after {
 		return Object{}, notChanged(key, after)
 	}
 	return object, err
 }
+
+// follow waits for one bounded time.
+func (c *client) follow(ctx context.Context, prefix Key, after Revision) (Changes, error) {
+	body, err := c.call(ctx, Call{Op: OpFollow, Key: prefix, At: after, Wait: c.Wait})
+	if err != nil {
+		return Changes{}, err
+	}
+	return readable(c.Wire.Changes(prefix, body))
+}
--- a/qhplatform/memory.go
+++ b/qhplatform/memory.go
@@ -46,6 +46,8 @@
 	current second
 	// changed is closed and replaced by each write.
 	changed chan struct{}
+	// compacted is the revision up to which the history is forgotten.
+	compacted Revision
 }
 
 // NewMemory returns an empty Memory without faults.
@@ -70,6 +72,10 @@
 		Update: m.update,
 		Delete: m.delete,
 		List:   m.list,
+		ListAt: m.listAt,
+		Follow: func(ctx context.Context, prefix Key, after Revision) (Changes, error) {
+			return m.follow(ctx, prefix, after, m.watch)
+		},
 		Watch: func(ctx context.Context, key Key, after Revision) (Object, error) {
 			return m.wait(ctx, key, after, m.watch)
 		},
--- a/qhplatform/memory_write.go
+++ b/qhplatform/memory_write.go
@@ -93,8 +93,7 @@
 	m.counts.Written += qhid.Bytes(len(w.value))
 	writes := append(m.writes[w.key], Object{Key: w.key, Value: w.value, Revision: m.revision})
 	m.writes[w.key] = writes[max(0, len(writes)-keptWrites):]
-	close(m.changed)
-	m.changed = make(chan struct{})
+	m.wake()
 	return m.revision, lost, nil
 }
 
--- a/qhplatform/store.go
+++ b/qhplatform/store.go
@@ -24,6 +24,25 @@
 	Revision Revision `json:"revision"`
 }
 
+// Listing is the objects whose keys begin with a prefix.
+type Listing struct {
+	// Objects are ordered by key.
+	Objects []Object `json:"objects"`
+	// At is the revision that the whole listing is of; changes are followed from it.
+	At Revision `json:"at"`
+	// More is the last key of a part that others follow; empty for the last part.
+	More Key `json:"-"`
+}
+
+// Changes is what happened to the objects whose keys begin with a prefix.
+type Changes struct {
+	// Objects have their newest states, in the order of the changes. One without
+	// a value was deleted.
+	Objects []Object `json:"objects"`
+	// At is the revision to go on from.
+	At Revision `json:"at"`
+}
+
 // Store is the platform's object API. The errors are of the kinds of qherr:
 // NotFound, Conflict (the condition did not hold, nothing was written),
 // Unavailable (nothing was written), Unknown (the answer was lost: a write may
@@ -39,6 +58,12 @@
 	Delete func(ctx context.Context, key Key, at Revision) error
 	// List returns the objects whose keys begin with prefix, ordered by key.
 	List func(ctx context.Context, prefix Key) ([]Object, error)
+	// ListAt is List with the revision of the whole.
+	ListAt func(ctx context.Context, prefix Key) (Listing, error)
+	// Follow waits for changes after the revision and returns them, or none
+	// where nothing changed within the platform's bound. It returns Conflict
+	// where the platform no longer knows that history: list again then.
+	Follow func(ctx context.Context, prefix Key, after Revision) (Changes, error)
 	// Watch waits until the object has a revision above after and returns it,
 	// or returns NotFound where nothing changed within the platform's bound
 	// (the caller then asks again). A waiting watch counts as one call.
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -46,8 +46,8 @@
 func (p *Proxy) serveCaller(w http.ResponseWriter, r *http.Request) {
 	p.counts.calls.Inc()
 	start := time.Now()
-	c := &call{proxy: p, in: r, id: requestID(r)}
-	w.Header().Set(qhheader.RequestID, string(c.id))
+	c := &call{proxy: p, in: r, id: p.requestID(r)}
+	w.Header()[qhheader.RequestID] = []string{string(c.id)}
 	if !p.callers.enter() {
 		w.Header().Set("Connection", "close")
 		p.refuse(w, notRun(qhdecision.Leaving, http.StatusServiceUnavailable, defaultAfter, "this node is leaving; use another one"), c.decision())
@@ -84,7 +84,7 @@
 	if f := c.match(); f != nil {
 		return start, f
 	}
-	left, f := c.proxy.timeLeft(c.in, time.Duration(c.route.Timeout))
+	left, f := c.proxy.timeLeft(c.in, c.proxy.Dialect.Left, time.Duration(c.route.Timeout))
 	if f != nil {
 		return start, f
 	}
@@ -97,6 +97,9 @@
 	if c.in.Method == http.MethodConnect || upgrades(c.in) {
 		return notRun(qhdecision.Upgrade, http.StatusNotImplemented, 0, "the mesh carries no other protocols; send plain HTTP")
 	}
+	if c.proxy.Dialect.Named && c.in.Header.Get(qhheader.RequestID) == "" {
+		return notRun(qhdecision.BadRequest, http.StatusBadRequest, 0, "the call has no id; send one in "+qhheader.RequestID)
+	}
 	if hasDots(c.in.URL.Path) {
 		return notRun(qhdecision.BadRequest, http.StatusBadRequest, 0, "the path has dot segments; send it clean")
 	}
@@ -116,7 +119,7 @@
 	if c.route == nil {
 		return notRun(qhdecision.NoRoute, http.StatusNotFound, 0, "the mesh has no route for "+describe(c.in)+"; check host, path and method")
 	}
-	name := qhroute.Choose(c.route, c.proxy.random(100))
+	name := qhroute.Choose(c.route, c.proxy.random(max(1, qhroute.Total(c.route))))
 	c.service = c.snapshot.Services[name]
 	if c.service == nil {
 		return notRun(qhdecision.NoTarget, http.StatusServiceUnavailable, defaultAfter, "the route names no service")
@@ -175,9 +178,9 @@
 }
 
 // requestID returns the caller's id for the call, or a new one.
-func requestID(r *http.Request) qhid.Request {
+func (p *Proxy) requestID(r *http.Request) qhid.Request {
 	id := r.Header.Get(qhheader.RequestID)
-	if id == "" || len(id) > maxRequestID {
+	if (id == "" || len(id) > maxRequestID) && !p.Dialect.Named {
 		return qhid.NewRequest()
 	}
 	return qhid.Request(id)
--- a/qhproxy/failure.go
+++ b/qhproxy/failure.go
@@ -57,6 +57,9 @@
 func failureOf(ctx context.Context, err error) *failure {
 	reason, status := classify(ctx, err)
 	if qhconn.IsUnsent(err) {
+		if status == http.StatusGatewayTimeout {
+			status = http.StatusServiceUnavailable // it says that the call has not run
+		}
 		return notRun(reason, status, defaultAfter, err.Error())
 	}
 	return unknown(reason, status, err.Error())
@@ -72,8 +75,10 @@
 		return qhdecision.BadBody, http.StatusBadRequest
 	case errors.Is(cause, qhconn.ErrSilent):
 		return qhdecision.Silent, http.StatusGatewayTimeout
-	case errors.Is(cause, errCut):
+	case errors.Is(cause, errCut) && qhconn.IsUnsent(err):
 		return qhdecision.GraceOver, http.StatusServiceUnavailable
+	case errors.Is(cause, errCut):
+		return qhdecision.GraceOver, http.StatusBadGateway
 	case errors.Is(cause, context.DeadlineExceeded):
 		return qhdecision.Deadline, http.StatusGatewayTimeout
 	case cause != nil:
--- a/qhproxy/nodes.go
+++ b/qhproxy/nodes.go
@@ -8,6 +8,7 @@
 
 	"quetzalhaven.dev/qhdeadline"
 	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhdialect"
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhid"
 )
@@ -21,7 +22,7 @@
 		Node:    qhid.Node(r.Header.Get(qhheader.NodeFrom)),
 	}
 	w.Header().Set(qhheader.RequestID, string(d.Request))
-	left, f := p.timeLeft(r, qhdeadline.Max) // within the route's bound already
+	left, f := p.timeLeft(r, qhdialect.Own().Left, qhdeadline.Max) // within the route's bound already
 	if f != nil {
 		p.refuse(w, f, d)
 		return
@@ -44,30 +45,31 @@
 	if err != nil || silence == 0 {
 		silence = time.Duration(p.Settings.Silence)
 	}
+	caller := qhid.Service(r.Header.Get(qhheader.NodeCaller))
 	dropHop(r.Header)
 	dropMesh(r.Header)
+	delete(r.Header, qhheader.Timeout)
 	body := &requestBody{length: r.ContentLength}
 	if r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0 {
 		body.stream = r.Body
 	}
-	return &hop{in: r, body: body, header: r.Header, silence: silence}
+	return &hop{in: r, body: body, header: r.Header, silence: silence, caller: caller}
 }
 
 // timeLeft returns the time that a call has: what its header says, within the
 // route's bound (0 for none) and that of the settings.
-func (p *Proxy) timeLeft(r *http.Request, route time.Duration) (time.Duration, *failure) {
+func (p *Proxy) timeLeft(r *http.Request, read func(http.Header) (time.Duration, bool, error), route time.Duration) (time.Duration, *failure) {
 	bound := route
 	if bound == 0 {
 		bound = time.Duration(p.Settings.Timeout)
 	}
-	value := r.Header.Get(qhheader.Timeout)
-	if value == "" {
-		return qhdeadline.Shortest(bound), nil
-	}
-	left, err := qhdeadline.Parse(value)
+	left, said, err := read(r.Header)
 	if err != nil {
 		return 0, notRun(qhdecision.BadDeadline, http.StatusBadRequest, 0, err.Error())
 	}
+	if !said {
+		return qhdeadline.Shortest(bound), nil
+	}
 	if left <= 0 {
 		return 0, notRun(qhdecision.Late, http.StatusGatewayTimeout, defaultAfter, "no time was left for the call; allow more")
 	}
--- a/qhproxy/proxy.go
+++ b/qhproxy/proxy.go
@@ -28,6 +28,7 @@
 	"quetzalhaven.dev/qhclaim"
 	"quetzalhaven.dev/qhconn"
 	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhdialect"
 	"quetzalhaven.dev/qhguard"
 	"quetzalhaven.dev/qhhold"
 	"quetzalhaven.dev/qhid"
@@ -52,6 +53,12 @@
 	Ring    *qhdecision.Ring
 	Log     *zap.Logger
 	Metrics *metrics.Set
+	// Dialect is how callers and targets write headers; the product's own where
+	// its functions are nil.
+	Dialect qhdialect.Dialect
+	// Beside returns the service whose target is on this VM, empty for none; it
+	// may be nil.
+	Beside func() qhid.Service
 	// Store keeps the claims of keyed calls; nil refuses keyed calls.
 	Store *qhplatform.Store
 	// Random returns a number in [0, n); nil is math/rand.
@@ -83,6 +90,12 @@
 // closes the connections to other nodes.
 func New(options Options) (*Proxy, func()) {
 	options.Log = sampled(options.Log)
+	if options.Dialect.Left == nil {
+		options.Dialect = qhdialect.Own()
+	}
+	if options.Beside == nil {
+		options.Beside = func() qhid.Service { return "" }
+	}
 	if options.Random == nil {
 		options.Random = rand.IntN
 	}
--- a/qhproxy/refuse.go
+++ b/qhproxy/refuse.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -20,7 +19,7 @@
 	header.Set(qhheader.Outcome, f.Outcome)
 	header.Set(qhheader.Reason, string(f.Reason))
 	if f.After > 0 {
-		header.Set(qhheader.RetryAfter, retryAfter(p.spread(f.After)))
+		header.Set(qhheader.RetryAfter, p.Dialect.After(p.spread(f.After)))
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	text := fmt.Sprintf("quetzalhaven: %s (%s): %s\n", f.Reason, f.Outcome, f.Detail)
@@ -34,8 +33,3 @@
 func (p *Proxy) spread(after time.Duration) time.Duration {
 	return after + after*time.Duration(p.random(spreadSteps))/spreadSteps
 }
-
-// retryAfter is the header value of a time, in whole seconds, rounded up.
-func retryAfter(after time.Duration) string {
-	return strconv.Itoa(int(math.Ceil(after.Seconds())))
-}
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -169,7 +169,7 @@
 
 // dispatch sends the call to the endpoint, over its node unless that is this one.
 func (c *call) dispatch(ctx context.Context, endpoint *qhmember.Endpoint) (*answer, *failure) {
-	h := &hop{in: c.in, body: c.body, header: c.in.Header, silence: c.silence()}
+	h := &hop{in: c.in, body: c.body, header: c.in.Header, silence: c.silence(), caller: c.proxy.Beside()}
 	if c.attempt > 1 {
 		h.header = c.in.Header.Clone() // an earlier attempt may still read the headers
 	}
@@ -190,6 +190,8 @@
 		field{qhheader.NodeRoute, string(c.route.Name)},
 		field{qhheader.NodeVersion, strconv.FormatUint(uint64(c.snapshot.Version), 10)},
 		field{qhheader.NodeSilence, qhdeadline.Format(h.silence)},
+		field{qhheader.NodeCaller, string(h.caller)},
+		field{qhheader.Timeout, qhdeadline.Format(timeTo(ctx))},
 	)
 	resp, err := c.proxy.peers.RoundTrip(endpoint.Calls, h.request(ctx, endpoint.Calls)) //nolint:bodyclose // pass closes it
 	if err != nil {
@@ -206,6 +208,12 @@
 	return &answer{Response: resp, release: func() {}, took: time.Duration(took) * time.Microsecond}, nil
 }
 
+// timeTo returns the time until the context's deadline, which every call has.
+func timeTo(ctx context.Context) time.Duration {
+	deadline, _ := ctx.Deadline()
+	return time.Until(deadline)
+}
+
 // failureFrom reads the failure that another node reported.
 func failureFrom(resp *http.Response, outcome string) *failure {
 	defer func() { _ = resp.Body.Close() }() // what is left of it is not needed
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -4,10 +4,10 @@
 	"context"
 	"net/http"
 	"net/url"
+	"strconv"
 	"time"
 
 	"quetzalhaven.dev/qhconn"
-	"quetzalhaven.dev/qhdeadline"
 	"quetzalhaven.dev/qhdecision"
 	"quetzalhaven.dev/qhguard"
 	"quetzalhaven.dev/qhheader"
@@ -22,6 +22,8 @@
 	header http.Header
 	// silence bounds the wait for the first byte of the target's answer.
 	silence time.Duration
+	// caller is the service on whose VM the call began.
+	caller qhid.Service
 }
 
 // answer is an answer whose body is still to be read.
@@ -53,8 +55,6 @@
 		Host:          h.in.Host,
 		Trailer:       h.in.Trailer,
 	}
-	deadline, _ := ctx.Deadline() // every call has one
-	setAll(h.header, field{qhheader.Timeout, qhdeadline.Format(time.Until(deadline))})
 	if _, ok := h.header["User-Agent"]; !ok {
 		h.header["User-Agent"] = nil // keeps the client from adding its own
 	}
@@ -91,11 +91,18 @@
 		return nil, refusedBy(ctx, err)
 	}
 	ctx, answered, release := watch(ctx, h.silence)
+	p.Dialect.SetLeft(h.header, timeTo(ctx))
+	p.Dialect.Address(h.header, target, h.caller)
 	start := time.Now()
 	resp, err := guard.Conns().RoundTrip(h.request(ctx, guard.Announcement().Address)) //nolint:bodyclose // pass closes it
 	answered()
+	var f *failure
 	if err != nil {
-		f := failureOf(ctx, err)
+		f = failureOf(ctx, err)
+	} else {
+		f = p.untrue(h, resp)
+	}
+	if f != nil {
 		release()
 		pass.Leave()
 		return nil, f
@@ -107,6 +114,27 @@
 	}}, nil
 }
 
+// untrue tells why the answer of a target is not its answer to the call, or
+// returns nil. Its connection is closed then.
+func (p *Proxy) untrue(h *hop, resp *http.Response) *failure {
+	if !p.Dialect.Named {
+		return nil
+	}
+	var f *failure
+	switch id := h.header.Get(qhheader.RequestID); {
+	case resp.Header.Get(qhheader.RequestID) != id:
+		f = unknown(qhdecision.Connection, http.StatusBadGateway, "the target's answer is for another call")
+	case p.Dialect.Unrun(resp):
+		f = notRun(qhdecision.Busy, http.StatusServiceUnavailable, defaultAfter, "the target did not take the call, status "+strconv.Itoa(resp.StatusCode))
+	case resp.Header.Get("Content-Encoding") != "":
+		f = unknown(qhdecision.Connection, http.StatusBadGateway, "the target's answer is encoded, which was not asked for")
+	default:
+		return nil
+	}
+	_ = resp.Body.Close() // nothing of it is used
+	return f
+}
+
 // watch returns a context that ends when no answer began within silence, the
 // function that tells that one began, and the context's clean-up. Where the
 // deadline comes first the context is returned as it is.
--- a/qhroute/choose.go
+++ b/qhroute/choose.go
@@ -5,11 +5,20 @@
 	"quetzalhaven.dev/qhid"
 )
 
-// Choose returns the service that takes a call of the route, for a draw from 0
-// to 99 at random. It is empty where the shares do not reach the draw.
+// Total returns the sum of the shares of a route, above which no draw reaches.
+func Total(route *qhconfig.Route) int {
+	total := 0
+	for _, share := range route.Shares {
+		total += share.Size()
+	}
+	return total
+}
+
+// Choose returns the service that takes a call of the route, for a draw at
+// random from 0 to below Total. It is empty where the shares do not reach the draw.
 func Choose(route *qhconfig.Route, draw int) qhid.Service {
 	for _, share := range route.Shares {
-		draw -= int(share.Percent)
+		draw -= share.Size()
 		if draw < 0 {
 			return share.Service
 		}
--- a/qhsetting/check.go
+++ b/qhsetting/check.go
@@ -16,7 +16,9 @@
 func checkNode(node Node) []Problem {
 	found := checkListen(node.Listen)
 	found = append(found, checkAnnounced(node)...)
-	found = append(found, checkSpread(node.Spread)...)
+	if node.Store == nil {
+		found = append(found, checkSpread(node.Spread)...)
+	}
 	return append(found, checkCalls(node.Calls)...)
 }
 
--- a/qhsetting/node.go
+++ b/qhsetting/node.go
@@ -14,7 +14,14 @@
 	ID   qhid.Node `json:"id" validate:"required,name"`
 	Zone qhid.Zone `json:"zone" validate:"required,name"`
 	// Platform is the base URL of the platform's object API.
-	Platform string `json:"platform" validate:"required,http_url"`
+	Platform string `json:"platform" validate:"required_without=Store,omitempty,http_url"`
+	// Store is the store that each node watches by itself. It takes the place of
+	// platform and spread; nil for none.
+	Store *Store `json:"store,omitempty"`
+	// Beside is the target that runs on the same VM; nil where nothing is known of it.
+	Beside *Beside `json:"beside,omitempty"`
+	// Bounds is what the operators of the platform ask of a node.
+	Bounds Bounds `json:"bounds,omitzero"`
 	// Seeds are peer addresses to ask while the platform is out.
 	Seeds  []qhid.Address `json:"seeds" validate:"unique,dive,address"`
 	Listen Listen         `json:"listen"`
@@ -38,6 +45,43 @@
 	Targets qhid.Address `json:"targets" validate:"required,address"`
 	// Operators is for dump, metrics, status and explain.
 	Operators qhid.Address `json:"operators" validate:"required,address"`
+	// Ready is for the platform's health checks; empty for none.
+	Ready qhid.Address `json:"ready,omitempty" validate:"omitempty,address"`
+}
+
+// Store is a platform whose objects each node watches by itself.
+type Store struct {
+	Address string `json:"address" validate:"required,http_url"`
+	// Writes and Reads are the calls a second that all nodes together may make.
+	Writes float64 `json:"writes" validate:"gt=0"`
+	Reads  float64 `json:"reads" validate:"gt=0"`
+}
+
+// Beside is the target on a node's VM, whose calls come to the node too.
+type Beside struct {
+	Service qhid.Service `json:"service"`
+	Address qhid.Address `json:"address"`
+}
+
+// Bounds is what the operators of the platform ask of a node; 0 is unset.
+type Bounds struct {
+	// Beat is how often targets announce themselves.
+	Beat qhconfig.Duration `json:"beat,omitempty"`
+	// Drain is how soon a target that leaves gets no new calls.
+	Drain qhconfig.Duration `json:"drain,omitempty"`
+	// Contact is how long a node has to be undisturbed before bounds of time hold.
+	Contact qhconfig.Duration `json:"contact,omitempty"`
+	// Config is how soon a configuration is in force.
+	Config qhconfig.Duration `json:"config,omitempty"`
+	// Reuse is the shortest time before an address goes to another target.
+	Reuse qhconfig.Duration `json:"reuse,omitempty"`
+	// Window, Ratio and Slack bound the repeats of a service by all nodes
+	// together: in any window, ratio times its calls plus slack.
+	Window qhconfig.Duration `json:"window,omitempty"`
+	Ratio  float64           `json:"ratio,omitempty"`
+	Slack  float64           `json:"slack,omitempty"`
+	// Memory is the most that the process may use, in bytes.
+	Memory qhid.Bytes `json:"memory,omitempty"`
 }
 
 // Announce is where other VMs reach listeners, such as behind an address
