--- a/qhnode/qhserve/node.go
+++ b/qhnode/qhserve/node.go
@@ -52,17 +52,17 @@
 type Node struct {
 	Options
 
-	started  time.Time
-	metrics  *metrics.Set
-	holder   *qhhold.Holder
-	members  *qhmember.Table
-	guards   *qhguard.Set
-	targets  *qhannounce.Registry
-	ring     *qhdecision.Ring
-	proxy    *qhproxy.Proxy
-	source   source
-	group    *qhgroup.Group
-	servers  []*http.Server
+	started time.Time
+	metrics *metrics.Set
+	holder  *qhhold.Holder
+	members *qhmember.Table
+	guards  *qhguard.Set
+	targets *qhannounce.Registry
+	ring    *qhdecision.Ring
+	proxy   *qhproxy.Proxy
+	source  source
+	group   *qhgroup.Group
+	servers []*http.Server
 	// drained is closed by the first drain through the operators' API.
 	drained chan struct{}
 	// failed has the first listener that ended by itself.
