--- a/qhbalance/choose.go
+++ b/qhbalance/choose.go
@@ -4,6 +4,7 @@
 package qhbalance
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -17,13 +18,16 @@
 const (
 	// samples bounds the random endpoints that are looked at before all are.
 	samples = 8
-	// spillPercent is how full, in hundredths of its slots, the better endpoint
+	// defaultSpill is how full, in hundredths of its slots, the better endpoint
 	// of the own availability zone is when others are considered.
-	spillPercent = 80
+	defaultSpill = 80
+	// roomPercent is how full an endpoint of another availability zone may be to
+	// take what spills over.
+	roomPercent = 80
 	// coldPercent is the part of its share that a cold target gets.
 	coldPercent = 10
 	// slowStart is how long a new target takes to get its whole share.
-	slowStart = 10 * time.Second
+	slowStart = 4 * time.Second
 	// defaultSlots is for a target that announces none.
 	defaultSlots = 8
 )
@@ -31,6 +35,7 @@
 // Balancer chooses endpoints and keeps the evidence about them.
 type Balancer struct {
 	pools pools
+	spill int64
 	// random returns a number in [0, n).
 	random func(n int) int
 }
@@ -39,6 +44,9 @@
 type Options struct {
 	// Zone is the node's own availability zone.
 	Zone qhid.Zone
+	// Spill is how full, in hundredths of its slots, the better endpoint of the
+	// own zone is when others are considered; 80 where it is 0.
+	Spill int64
 	// Random returns a number in [0, n); nil is math/rand.
 	Random func(n int) int
 }
@@ -49,7 +57,7 @@
 	if random == nil {
 		random = rand.IntN
 	}
-	return &Balancer{pools: pools{zone: options.Zone}, random: random}
+	return &Balancer{pools: pools{zone: options.Zone}, spill: cmp.Or(options.Spill, defaultSpill), random: random}
 }
 
 // Tried lists the endpoints that a call was already sent to. The zero value is
@@ -60,7 +68,7 @@
 }
 
 // maxTried is the largest number of attempts of one call.
-const maxTried = 4
+const maxTried = 8
 
 // Add notes an endpoint.
 func (t *Tried) Add(endpoint *qhmember.Endpoint) {
@@ -103,13 +111,13 @@
 	pool.far.refresh(now)
 	near := pick{balancer: b, side: &pool.near, service: service, tried: tried, now: now}
 	own := near.better(qhdecision.OwnZone)
-	if own.hasRoom(now) {
+	if own.hasRoom(b.spill, now) {
 		return own, true
 	}
 	far := near
 	far.side = &pool.far
 	other := far.better(qhdecision.OtherZone)
-	if other.hasRoom(now) {
+	if other.hasRoom(roomPercent, now) {
 		if own.Endpoint != nil {
 			other.Reason, other.Other = qhdecision.SpillOver, own.Endpoint
 		}
@@ -127,13 +135,17 @@
 	return other, other.Endpoint != nil
 }
 
-// hasRoom tells whether there is an endpoint that is not nearly full.
-func (c *Choice) hasRoom(now time.Time) bool {
-	return c.Endpoint != nil && fullness(c.Endpoint, now) < spillPercent
+// hasRoom tells whether there is an endpoint that is less full than the bound.
+func (c *Choice) hasRoom(bound int64, now time.Time) bool {
+	return c.Endpoint != nil && fullness(c.Endpoint, now) < bound
 }
 
-// better returns the better of two random usable endpoints.
+// better returns the better of two random usable endpoints, or the best of all
+// where there are few.
 func (p *pick) better(why qhdecision.Reason) Choice {
+	if len(p.side.list) <= samples {
+		return p.best(why)
+	}
 	first := p.sample(nil)
 	if first == nil {
 		return Choice{}
@@ -145,6 +157,37 @@
 	return choice
 }
 
+// best returns the best usable endpoint, those that start as often as their
+// share says.
+func (p *pick) best(why qhdecision.Reason) Choice {
+	choice := Choice{Reason: why}
+	if len(p.side.list) == 0 {
+		return choice
+	}
+	start := p.balancer.random(len(p.side.list))
+	for i := range p.side.list {
+		endpoint := p.side.list[(start+i)%len(p.side.list)]
+		if !p.usable(endpoint) {
+			continue
+		}
+		if warm := p.side.warmth(endpoint, p.now); warm < 100 && p.balancer.random(100) >= warm {
+			continue
+		}
+		switch {
+		case choice.Endpoint == nil:
+			choice.Endpoint = endpoint
+		case quicker(endpoint, choice.Endpoint, p.now):
+			choice.Endpoint, choice.Other = endpoint, choice.Endpoint
+		default:
+			choice.Other = endpoint
+		}
+	}
+	if choice.Endpoint == nil {
+		choice.Endpoint = p.scan()
+	}
+	return choice
+}
+
 // doubt chooses among all endpoints of a side where too few look usable to trust
 // the evidence.
 func (p *pick) doubt() Choice {
@@ -220,7 +263,27 @@
 	if latencyA == 0 || latencyB == 0 {
 		latencyA, latencyB = 1, 1
 	}
-	return (load(a, now)+1)*latencyA*slots(b) < (load(b, now)+1)*latencyB*slots(a)
+	return cost(a, latencyA, now) < cost(b, latencyB, now)
+}
+
+const (
+	// crowding is how much longer a call takes at a target whose slots are all in
+	// use but one, in parts of its time.
+	crowding = 0.3
+	// queueing is the wait behind as many calls as there are slots, in parts of
+	// the time of a call.
+	queueing = 1.5
+	// faulty is how many times its time a call costs at a target that fails all.
+	faulty = 5
+)
+
+// cost returns the time until an answer is expected, by the time of a call, the
+// load and the share of calls that failed.
+func cost(endpoint *qhmember.Endpoint, latency int64, now time.Time) float64 {
+	use := float64(load(endpoint, now)+1) / float64(slots(endpoint))
+	factor := 1 + crowding*use + queueing*max(0, use-1)
+	factor *= 1 + faulty*float64(endpoint.Observed.Faults.Load())/faultScale
+	return float64(latency) * factor
 }
 
 // load returns the calls that the endpoint is believed to have.
--- a/qhbalance/observe.go
+++ b/qhbalance/observe.go
@@ -39,6 +39,7 @@
 	observed := endpoint.Observed
 	observed.Failures.Store(0)
 	observed.Ejections.Store(0)
+	noteFault(observed, 0)
 	old := observed.Latency.Load()
 	if old == 0 {
 		old = int64(took)
@@ -47,6 +48,17 @@
 	observed.Latency.Store((old*latencyWeight + int64(took)) / (latencyWeight + 1))
 }
 
+// faultScale is a share of 1 in the unit of Observed.Faults.
+const faultScale = 1000
+
+// Fault notes an answer that is an error of the target.
+func Fault(endpoint *qhmember.Endpoint) { noteFault(endpoint.Observed, faultScale) }
+
+func noteFault(observed *qhmember.Observed, fault int64) {
+	old := observed.Faults.Load()
+	observed.Faults.Store((old*latencyWeight + fault) / (latencyWeight + 1))
+}
+
 // Fail notes a call that failed and tells whether the endpoint was ejected for
 // it, and for how long.
 func (b *Balancer) Fail(view *qhmember.View, service qhid.Service, endpoint *qhmember.Endpoint, now time.Time) (time.Duration, bool) {
--- a/qhdecision/decision.go
+++ b/qhdecision/decision.go
@@ -56,6 +56,7 @@
 	SpillOver     Reason = "spill-over"
 	OtherZone     Reason = "other-zone"
 	Panicking     Reason = "panic"
+	LastAsked     Reason = "last-asked"
 	OnlyOne       Reason = "only-one"
 	FailedInARow  Reason = "failed-in-a-row"
 	BrokeOff      Reason = "broke-off"
--- a/qhfeed/nodes.go
+++ b/qhfeed/nodes.go
@@ -88,7 +88,15 @@
 func (f *Feed) unwritten(own qhmember.Entry) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !f.left && qhmember.Compare(own, f.written) != 0
+	return f.announcedOnce && !f.left && len(own.Targets) > 0 && qhmember.Compare(own, f.written) != 0
+}
+
+// superfluous tells whether the store has an entry of this node, which has no
+// target any more.
+func (f *Feed) superfluous(own qhmember.Entry) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.announcedOnce && len(own.Targets) == 0 && f.mine != 0
 }
 
 // publish writes the own entry whenever it changed, until the store has it.
@@ -108,6 +116,9 @@
 			}
 			pause.reset()
 		}
+		if f.superfluous(f.Members.Self()) {
+			f.remove(ctx)
+		}
 	}
 }
 
@@ -164,7 +175,15 @@
 func (f *Feed) Leave(ctx context.Context) {
 	f.mu.Lock()
 	f.left = true
+	f.mu.Unlock()
+	f.remove(ctx)
+}
+
+// remove removes the own entry where the store has one.
+func (f *Feed) remove(ctx context.Context) {
+	f.mu.Lock()
 	at := f.mine
+	f.mine, f.written = 0, qhmember.Entry{}
 	f.mu.Unlock()
 	if at == 0 {
 		return
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -8,6 +8,8 @@
 
 import (
 	"context"
+	"errors"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -67,6 +69,10 @@
 	revisions map[qhid.Node]qhplatform.Revision
 	// left is set once the own entry is to be gone.
 	left bool
+	// announcedOnce is set once this life of the node has said what it has.
+	announcedOnce bool
+	// hinted is the newest version that another node was asked for.
+	hinted atomic.Uint64
 }
 
 // New starts a feed and returns it with its clean-up.
@@ -81,7 +87,9 @@
 		revisions: make(map[qhid.Node]qhplatform.Revision),
 	}
 	f.config = f.newFollower("configuration", prefixOf(options.Config), f.takeConfig)
+	f.config.wait, f.config.pause = configWait, configPause
 	f.nodes = f.newFollower("nodes", nodeKeys, f.takeNodes)
+	f.nodes.wait, f.nodes.pause = nodesWait, nodesPause
 	group.Go(f.config.run)
 	group.Go(f.nodes.run)
 	group.Go(f.publish)
@@ -142,6 +150,9 @@
 // Announce replaces what this node says of itself and has it written.
 func (f *Feed) Announce(state qhmember.State, targets []qhmember.Target) {
 	f.Members.Announce(state, targets)
+	f.mu.Lock()
+	f.announcedOnce = true
+	f.mu.Unlock()
 	f.wake()
 }
 
@@ -163,10 +174,17 @@
 	read atomic.Bool
 	// failing is set while calls fail.
 	failing atomic.Bool
+	// wait is how long a watch is held by the store, for so many nodes.
+	wait func(nodes int) time.Duration
+	// pause is the shortest time between two watches, in which changes that come
+	// in quick succession share one call.
+	pause time.Duration
+	// doubted wakes a watch that may have missed something.
+	doubted chan struct{}
 }
 
 func (f *Feed) newFollower(name string, prefix qhplatform.Key, take func([]qhplatform.Object, bool)) *follower {
-	fo := &follower{feed: f, name: name, prefix: prefix, take: take}
+	fo := &follower{feed: f, name: name, prefix: prefix, take: take, doubted: make(chan struct{}, 1)}
 	f.Metrics.NewGauge(`qh_store_followed{what="`+name+`"}`, func() float64 {
 		if fo.healthy() {
 			return 1
@@ -179,9 +197,15 @@
 func (fo *follower) healthy() bool { return fo.read.Load() && !fo.failing.Load() }
 
 const (
-	// settlePause is the pause between two watches, in which changes that come
-	// in quick succession share one call.
-	settlePause = 150 * time.Millisecond
+	// configPause and nodesPause are the shortest times between two watches.
+	configPause = 200 * time.Millisecond
+	nodesPause  = 400 * time.Millisecond
+	// perNode spreads the ends of the watches of all nodes: a watch that the store
+	// has lost is noticed by some node within about this time.
+	perNode = 400 * time.Millisecond
+	// minWait and maxWait bound how long a watch is held.
+	minWait = 2 * time.Second
+	maxWait = 20 * time.Second
 	// firstPause and lastPause bound the random pause after a call that failed.
 	firstPause = 100 * time.Millisecond
 	lastPause  = time.Second
@@ -208,9 +232,13 @@
 // follow returns once the history is gone or the context ends.
 func (fo *follower) follow(ctx context.Context, at qhplatform.Revision, pause *pause) {
 	for ctx.Err() == nil {
-		changes, err := fo.feed.Store.Follow(ctx, fo.prefix, at)
+		changes, err := fo.watch(ctx, at)
+		if ctx.Err() == nil && errors.Is(err, errDoubted) {
+			continue
+		}
 		if qherr.Is(err, qherr.Conflict) {
 			fo.feed.Log.Info("store forgot its history", zap.String("what", fo.name), zap.Uint64("revision", uint64(at)))
+			fo.feed.doubt(fo)
 			return
 		}
 		if err != nil {
@@ -222,11 +250,82 @@
 		fo.take(changes.Objects, false)
 		at = max(at, changes.At)
 		if len(changes.Objects) > 0 {
-			qhgroup.Sleep(ctx, settlePause)
+			qhgroup.Sleep(ctx, fo.pause)
 		}
 	}
 }
 
+// errDoubted ends a watch that may have missed something.
+var errDoubted = errors.New("the watch may have missed a change; watch again") //nolint:gochecknoglobals // a sentinel
+
+// watch waits for changes, for a random time around what the number of nodes
+// asks for, or until it is doubted.
+func (fo *follower) watch(ctx context.Context, at qhplatform.Revision) (qhplatform.Changes, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := make(chan struct{})
+	defer close(stop)
+	fo.feed.group.Go(func(context.Context) {
+		select {
+		case <-fo.doubted:
+			cancel(errDoubted)
+		case <-stop:
+		}
+	})
+	wait := fo.wait(len(fo.feed.Members.View().Entries))
+	changes, err := fo.feed.Store.Follow(ctx, fo.prefix, at, wait/2+rand.N(wait))
+	if err != nil && errors.Is(context.Cause(ctx), errDoubted) {
+		return qhplatform.Changes{}, errDoubted
+	}
+	return changes, err
+}
+
+func configWait(nodes int) time.Duration {
+	return min(max(time.Duration(nodes)*perNode, minWait), maxWait)
+}
+
+func nodesWait(nodes int) time.Duration { return min(2*configWait(nodes), maxWait) }
+
+// doubt makes the other follower watch again, since what ended one watch may
+// have made the other one miss something.
+func (f *Feed) doubt(ended *follower) {
+	for _, fo := range []*follower{f.config, f.nodes} {
+		if fo == ended {
+			continue
+		}
+		select {
+		case fo.doubted <- struct{}{}:
+		default: // it is doubted already
+		}
+	}
+}
+
+// hintPause is the time in which a watch should have told of a version that
+// another node has.
+const hintPause = 150 * time.Millisecond
+
+// Heard is told of a version that another node has. Where the own watch has not
+// told of it soon after, the node is asked for it and the watches are doubted.
+func (f *Feed) Heard(version qhid.Version, node qhid.Node) {
+	last := f.hinted.Load()
+	if version <= f.Holder.Version() || uint64(version) <= last || !f.hinted.CompareAndSwap(last, uint64(version)) {
+		return
+	}
+	f.group.Go(func(ctx context.Context) {
+		if !qhgroup.Sleep(ctx, hintPause) || f.Holder.Version() >= version {
+			return
+		}
+		f.Log.Info("another node has a newer version", zap.String("member", string(node)), zap.Uint64("version", uint64(version)), zap.Uint64("held", uint64(f.Holder.Version())))
+		f.doubt(nil)
+		if entry, ok := f.Members.Get(node); ok {
+			f.ask(ctx, entry.Peers)
+		}
+		if f.Holder.Version() < version {
+			f.hinted.Store(last) // another node may answer
+		}
+	})
+}
+
 // heard notes a call that was answered.
 func (fo *follower) heard() {
 	if fo.failing.Swap(false) {
--- a/qhguard/guard.go
+++ b/qhguard/guard.go
@@ -26,7 +26,13 @@
 	// meanWeight is the weight of older answers in the mean service time.
 	meanWeight = 7
 	// minAfter is the shortest time after which to come back.
-	minAfter = time.Second
+	minAfter = 50 * time.Millisecond
+	// overdueTimes is how many times its average a call takes before its slot
+	// counts as free, and overdueMin the shortest such time.
+	overdueTimes = 4
+	overdueMin   = 200 * time.Millisecond
+	// brokenSpan is how long a target that can't be reached gets no calls.
+	brokenSpan = 200 * time.Millisecond
 )
 
 // Announcement is what a target says of itself.
@@ -64,6 +70,12 @@
 	queue []*waiter
 	// mean is the moving average of service times, 0 before the first.
 	mean time.Duration
+	// means has the averages by route.
+	means map[qhid.Route]time.Duration
+	// broken is until when the target counts as out of reach.
+	broken time.Time
+	// drain is how long a target that leaves takes what waits; 0 for no bound.
+	drain time.Duration
 	// stopped refuses everything new.
 	stopped bool
 }
@@ -77,7 +89,7 @@
 
 // newGuard returns the guard of an announced target.
 func newGuard(a Announcement, conns *qhconn.Pool) *Guard {
-	return &Guard{announcement: a, conns: conns}
+	return &Guard{announcement: a, conns: conns, means: make(map[qhid.Route]time.Duration)}
 }
 
 // Announcement returns the newest announcement.
@@ -97,25 +109,44 @@
 // Conns returns the connections to the target.
 func (g *Guard) Conns() *qhconn.Pool { return g.conns }
 
-// Enter waits for a slot. It returns a pass whose Leave must be called once, or
-// a *Refusal when the call was not admitted. The context needs a deadline.
+// Ask is what a call asks of a target.
+type Ask struct {
+	Limits
+	Route qhid.Route
+	// Priority ranks the call; 0 is the most urgent.
+	Priority int
+	// Due is until when an answer is of full use; zero where nothing is said.
+	Due time.Time
+	// Patience is how long the call may wait here rather than be refused at once,
+	// because another target may take it; 0 is up to its deadline.
+	Patience time.Duration
+}
+
+// Enter is Admit for a call that says nothing of itself.
 func (g *Guard) Enter(ctx context.Context, limits Limits) (*Pass, error) {
+	return g.Admit(ctx, Ask{Limits: limits})
+}
+
+// Admit waits for a slot. It returns a pass whose Leave must be called once, or
+// a *Refusal when the call was not admitted. The context needs a deadline.
+func (g *Guard) Admit(ctx context.Context, ask Ask) (*Pass, error) {
 	deadline, _ := ctx.Deadline()
 	now := time.Now()
+	w := &waiter{ask: ask, deadline: deadline, decided: make(chan struct{})}
 	g.mu.Lock()
-	g.limits = limits
-	if refusal := g.refuse(now, deadline); refusal != nil {
+	g.limits = ask.Limits
+	if refusal := g.refuse(now, w); refusal != nil {
 		g.mu.Unlock()
 		return nil, refusal
 	}
 	if g.running < g.slots() && len(g.queue) == 0 {
-		g.running++
+		pass := g.enter(ask.Route, now)
 		g.mu.Unlock()
-		return &Pass{guard: g, start: now}, nil
+		return pass, nil
 	}
-	w := &waiter{deadline: deadline, decided: make(chan struct{})}
 	g.enqueue(w)
 	g.admit(now) // the limits of this call may leave more slots
+	g.refuseHopeless(now)
 	g.mu.Unlock()
 	return g.wait(ctx, w)
 }
@@ -132,7 +163,7 @@
 	if w.refusal != nil {
 		return nil, w.refusal
 	}
-	return &Pass{guard: g, start: time.Now()}, nil
+	return w.pass, nil
 }
 
 // reasonOf tells why a context ended.
@@ -144,11 +175,14 @@
 }
 
 // refuse returns why a new call is not admitted, or nil. The lock is held.
-func (g *Guard) refuse(now, deadline time.Time) *Refusal {
+func (g *Guard) refuse(now time.Time, w *waiter) *Refusal {
 	if g.stopped || g.announcement.State == qhmember.Leaving {
 		return &Refusal{Reason: qhdecision.Leaving, After: minAfter}
 	}
-	if !deadline.IsZero() && !now.Before(deadline) {
+	if now.Before(g.broken) {
+		return &Refusal{Reason: qhdecision.Connect, After: minAfter}
+	}
+	if !w.deadline.IsZero() && !now.Before(w.deadline) {
 		return &Refusal{Reason: qhdecision.Late, After: minAfter}
 	}
 	slots := g.slots()
@@ -158,13 +192,41 @@
 	if len(g.queue) >= g.queueBound(slots) {
 		return &Refusal{Reason: qhdecision.Busy, After: g.waitFor(len(g.queue)) + minAfter}
 	}
-	wait := g.waitFor(g.ahead(deadline))
-	if !deadline.IsZero() && now.Add(wait+g.mean).After(deadline) {
+	wait := g.waitFor(g.ahead(w))
+	if w.ask.Patience > 0 && wait > w.ask.Patience {
+		return &Refusal{Reason: qhdecision.Busy, After: wait + minAfter}
+	}
+	if !w.deadline.IsZero() && now.Add(wait+g.meanOf(w.ask.Route)).After(w.deadline) {
 		return &Refusal{Reason: qhdecision.Late, After: wait + minAfter}
 	}
 	return nil
 }
 
+// refuseHopeless refuses those in the queue that would get a slot too late for
+// their deadlines, since more urgent ones came. The lock is held.
+func (g *Guard) refuseHopeless(now time.Time) {
+	kept := g.queue[:0]
+	for _, w := range g.queue {
+		start := now.Add(g.waitFor(len(kept)))
+		if !w.deadline.IsZero() && start.Add(g.meanOf(w.ask.Route)/2).After(w.deadline) {
+			w.refuse(&Refusal{Reason: qhdecision.Late, After: g.waitFor(len(g.queue)) + minAfter})
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(g.queue[len(kept):])
+	g.queue = kept
+}
+
+// meanOf returns how long a call of the route takes on average, that of all
+// calls before the first one. The lock is held.
+func (g *Guard) meanOf(route qhid.Route) time.Duration {
+	if mean, ok := g.means[route]; ok {
+		return mean
+	}
+	return g.mean
+}
+
 // slots returns how many calls may run now. The lock is held.
 func (g *Guard) slots() int {
 	slots := g.announcement.Slots
@@ -206,40 +268,122 @@
 	return g.mean * time.Duration(ahead+1) / time.Duration(g.slots())
 }
 
+// enter takes a slot for a call of the route. Where the call takes far longer
+// than usual its answer was probably lost, and the slot counts as free again.
+// The lock is held.
+func (g *Guard) enter(route qhid.Route, now time.Time) *Pass {
+	g.running++
+	pass := &Pass{guard: g, route: route, start: now}
+	if mean := g.meanOf(route); mean > 0 {
+		pass.overdue = time.AfterFunc(max(overdueMin, overdueTimes*mean), pass.release)
+	}
+	return pass
+}
+
 // leave gives a slot back and admits who is next.
-func (g *Guard) leave(start time.Time) {
+func (g *Guard) leave(p *Pass) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	took := time.Since(start)
-	if g.mean == 0 {
-		g.mean = took
+	took := time.Since(p.start)
+	g.mean = averaged(g.mean, took)
+	if p.route != "" {
+		g.means[p.route] = averaged(g.means[p.route], took)
+	}
+	g.free(p)
+}
+
+// free counts the slot of a pass as free, once. The lock is held.
+func (g *Guard) free(p *Pass) {
+	if p.freed {
+		return
 	}
-	g.mean = (g.mean*meanWeight + took) / (meanWeight + 1)
+	p.freed = true
 	g.running--
 	g.admit(time.Now())
 }
 
+// averaged returns the moving average with one more value.
+func averaged(mean, took time.Duration) time.Duration {
+	if mean == 0 {
+		return took
+	}
+	return (mean*meanWeight + took) / (meanWeight + 1)
+}
+
+// Broke notes that the target could not be reached. Calls are refused for a
+// moment, so that others take them.
+func (g *Guard) Broke() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.broken = time.Now().Add(brokenSpan)
+}
+
 // update takes a newer announcement of the target.
 func (g *Guard) update(a Announcement) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.announcement = a
 	g.conns.SetLimit(g.connections())
+	if a.State == qhmember.Leaving {
+		g.endQueue()
+	}
 	g.admit(time.Now())
 }
 
-// stop refuses everything new. What runs or waits goes on.
+// refuseAll empties the queue. The lock is held.
+func (g *Guard) refuseAll(reason qhdecision.Reason) {
+	for _, w := range g.queue {
+		w.refuse(&Refusal{Reason: reason, After: minAfter})
+	}
+	g.queue = nil
+}
+
+// endQueue gives what waits the time that a leaving target takes calls for. The
+// lock is held.
+func (g *Guard) endQueue() {
+	if g.drain == 0 || len(g.queue) == 0 {
+		return
+	}
+	time.AfterFunc(g.drain, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if g.stopped || g.announcement.State == qhmember.Leaving {
+			g.refuseAll(qhdecision.Leaving)
+		}
+	})
+}
+
+// stop refuses everything new. What runs goes on, and what waits for the time
+// that a leaving target takes calls.
 func (g *Guard) stop() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.stopped = true
+	g.endQueue()
 }
 
 // Pass is a slot in use.
 type Pass struct {
 	guard *Guard
+	route qhid.Route
 	start time.Time
+	// freed is set once the slot counts as free. The guard's lock protects it.
+	freed bool
+	// overdue frees the slot of a call that takes too long; nil for none.
+	overdue *time.Timer
 }
 
 // Leave gives the slot back.
-func (p *Pass) Leave() { p.guard.leave(p.start) }
+func (p *Pass) Leave() {
+	if p.overdue != nil {
+		p.overdue.Stop()
+	}
+	p.guard.leave(p)
+}
+
+// release counts the slot as free while the call goes on.
+func (p *Pass) release() {
+	p.guard.mu.Lock()
+	defer p.guard.mu.Unlock()
+	p.guard.free(p)
+}
--- a/qhguard/queue.go
+++ b/qhguard/queue.go
@@ -9,31 +9,56 @@
 
 // waiter is a call that waits for a slot.
 type waiter struct {
+	ask Ask
 	// deadline is zero for none.
 	deadline time.Time
 	// decided is closed once the waiter was admitted or refused.
 	decided chan struct{}
-	// refusal is set before decided is closed, nil where admitted.
+	// refusal and pass are set before decided is closed, one of them.
 	refusal *Refusal
+	pass    *Pass
 }
 
-// before tells whether deadline a is earlier than b, where zero is never.
+// refuse ends the wait without a slot.
+func (w *waiter) refuse(refusal *Refusal) {
+	w.refusal = refusal
+	close(w.decided)
+}
+
+// due is until when an answer is of full use, at the latest the deadline.
+func (w *waiter) due() time.Time {
+	if before(w.ask.Due, w.deadline) {
+		return w.ask.Due
+	}
+	return w.deadline
+}
+
+// before tells whether time a is earlier than b, where zero is never.
 func before(a, b time.Time) bool {
 	return !a.IsZero() && (b.IsZero() || a.Before(b))
 }
 
-// ahead returns how many waiters go before a deadline. The lock is held.
-func (g *Guard) ahead(deadline time.Time) int {
+// goesBefore tells whether w gets a slot before other: the more urgent one, then
+// the one whose answer is due earlier.
+func (w *waiter) goesBefore(other *waiter) bool {
+	if w.ask.Priority != other.ask.Priority {
+		return w.ask.Priority < other.ask.Priority
+	}
+	return before(w.due(), other.due())
+}
+
+// ahead returns how many waiters go before w. The lock is held.
+func (g *Guard) ahead(w *waiter) int {
 	ahead := len(g.queue)
-	for ahead > 0 && before(deadline, g.queue[ahead-1].deadline) {
+	for ahead > 0 && w.goesBefore(g.queue[ahead-1]) {
 		ahead--
 	}
 	return ahead
 }
 
-// enqueue puts w behind those of the same deadline. The lock is held.
+// enqueue puts w behind those that go before it. The lock is held.
 func (g *Guard) enqueue(w *waiter) {
-	g.queue = slices.Insert(g.queue, g.ahead(w.deadline), w)
+	g.queue = slices.Insert(g.queue, g.ahead(w), w)
 }
 
 // abandon takes w out of the queue, or returns false where it was decided.
@@ -52,13 +77,24 @@
 // answered in time are refused. The lock is held.
 func (g *Guard) admit(now time.Time) {
 	for len(g.queue) > 0 && g.running < g.slots() {
-		w := g.queue[0]
-		g.queue = slices.Delete(g.queue, 0, 1)
-		if !w.deadline.IsZero() && now.Add(g.mean/2).After(w.deadline) {
-			w.refusal = &Refusal{Reason: qhdecision.Late, After: g.waitFor(len(g.queue)) + minAfter}
-		} else {
-			g.running++
+		i := g.next(now)
+		w := g.queue[i]
+		g.queue = slices.Delete(g.queue, i, i+1)
+		if !w.deadline.IsZero() && now.Add(g.meanOf(w.ask.Route)/2).After(w.deadline) {
+			w.refuse(&Refusal{Reason: qhdecision.Late, After: g.waitFor(len(g.queue)) + minAfter})
+			continue
 		}
+		w.pass = g.enter(w.ask.Route, now)
 		close(w.decided)
 	}
 }
+
+// next returns the waiter that gets the next slot: the first one whose answer
+// can still be of full use, else the first. The lock is held.
+func (g *Guard) next(now time.Time) int {
+	i := slices.IndexFunc(g.queue, func(w *waiter) bool {
+		due := w.due()
+		return due.IsZero() || !now.Add(g.meanOf(w.ask.Route)/2).After(due)
+	})
+	return max(i, 0)
+}
--- a/qhguard/set.go
+++ b/qhguard/set.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -16,7 +17,9 @@
 // Set has the guards of the targets of the node's VM. Get takes no lock.
 type Set struct {
 	// mu is held by writers.
-	mu     sync.Mutex
+	mu sync.Mutex
+	// drain is how long a target that leaves takes what waits; 0 for no bound.
+	drain  time.Duration
 	guards atomic.Pointer[map[qhid.Target]*Guard]
 }
 
@@ -27,6 +30,10 @@
 	return set, set.close
 }
 
+// Drain bounds how long a target that leaves takes what waits for it. It is
+// called before the first Put.
+func (s *Set) Drain(bound time.Duration) { s.drain = bound }
+
 // Get returns the guard of a target, or nil.
 func (s *Set) Get(id qhid.Target) *Guard { return (*s.guards.Load())[id] }
 
@@ -53,6 +60,7 @@
 	}
 	conns := qhconn.NewPool(a.Address, defaultConnections)
 	guard := newGuard(a, conns)
+	guard.drain = s.drain
 	guard.update(a)
 	next := maps.Clone(*s.guards.Load())
 	next[a.ID] = guard
--- a/qhheader/qhheader.go
+++ b/qhheader/qhheader.go
@@ -49,6 +49,14 @@
 	NodeTook = Internal + "Took"
 	// NodeCaller is the service on whose VM the call began.
 	NodeCaller = Internal + "Caller"
+	// NodePriority ranks the call; 0 is the most urgent.
+	NodePriority = Internal + "Priority"
+	// NodeDue is the time until which an answer is of full use, in seconds.
+	NodeDue = Internal + "Due"
+	// NodePatience bounds the wait for a slot, in seconds.
+	NodePatience = Internal + "Patience"
+	// NodeArrived is set where a target got the call, whatever it did with it.
+	NodeArrived = Internal + "Arrived"
 	// NodeLoad is how many calls the target has running and queued.
 	NodeLoad = Internal + "Load"
 )
--- a/qhmember/observed.go
+++ b/qhmember/observed.go
@@ -11,6 +11,8 @@
 	Latency atomic.Int64
 	// Failures counts calls that failed in a row.
 	Failures atomic.Int64
+	// Faults is the moving share of answers that were errors, in thousandths.
+	Faults atomic.Int64
 	// Ejected is when the ejection ends, in nanoseconds of the Unix epoch; 0 for none.
 	Ejected atomic.Int64
 	// Ejections counts ejections in a row; each lasts longer than the one before.
--- a/qhnode/main.go
+++ b/qhnode/main.go
@@ -14,6 +14,7 @@
 
 	"quetzalhaven.dev/platform"
 	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhlog"
 	"quetzalhaven.dev/qhnode/qhserve"
 	"quetzalhaven.dev/qhsetting"
@@ -60,13 +61,17 @@
 		Use:     "run --settings FILE",
 		Short:   "Serve until SIGTERM or SIGINT, then stop without cutting calls",
 		Example: "  qhnode run --settings /etc/quetzalhaven/node.jsonc",
-	}, func(command *cobra.Command, _ string, settings qhsetting.Node) error {
+	}, func(command *cobra.Command, path string, settings qhsetting.Node) error {
 		log, flush, err := qhlog.New(settings.Log, "qhnode", version)
 		if err != nil {
 			return err
 		}
 		defer flush()
-		return qhserve.Run(command.Context(), qhserve.Options{Settings: settings, Build: version, Log: log})
+		group, stop := qhgroup.New(command.Context())
+		defer stop()
+		return qhserve.Run(command.Context(), qhserve.Options{
+			Settings: settings, Build: version, Log: log, Reloaded: watchSettings(group, path, log),
+		})
 	})
 }
 
--- a/qhnode/qhserve/node.go
+++ b/qhnode/qhserve/node.go
@@ -7,6 +7,7 @@
 	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -46,6 +47,8 @@
 	// Build tells which build runs.
 	Build string
 	Log   *zap.Logger
+	// Reloaded brings the settings each time that they changed; it may be nil.
+	Reloaded <-chan qhsetting.Node
 }
 
 // Node is one running node.
@@ -63,6 +66,11 @@
 	source  source
 	group   *qhgroup.Group
 	servers []*http.Server
+	// latest has the settings as they were last read. Only what beside and seeds
+	// say of it takes effect without a restart.
+	latest atomic.Pointer[qhsetting.Node]
+	// heard is told of other nodes' versions; nil where the source needs no hints.
+	heard func(version qhid.Version, node qhid.Node)
 	// drained is closed by the first drain through the operators' API.
 	drained chan struct{}
 	// failed has the first listener that ended by itself.
@@ -81,6 +89,7 @@
 		return err
 	}
 	defer cleanup()
+	node.group.Go(node.reload)
 	select {
 	case <-ctx.Done():
 	case <-node.drained:
@@ -106,6 +115,7 @@
 		failed:  make(chan error, 1),
 		state:   qhmember.Up,
 	}
+	node.latest.Store(&options.Settings)
 	var stops cleanups
 	stops.add(closeListeners)
 	group, stopGroup := qhgroup.New(context.Background())
@@ -144,6 +154,7 @@
 // startProxy starts the path of a call.
 func (n *Node) startProxy(store *qhplatform.Store, stops *cleanups) {
 	guards, closeGuards := qhguard.NewSet()
+	guards.Drain(time.Duration(drainShare * float64(n.Settings.Bounds.Drain)))
 	guards.Register(n.metrics)
 	n.guards = guards
 	n.metrics.GetOrCreateGauge("qh_targets_running", func() float64 { return float64(n.load().Running) })
@@ -152,7 +163,7 @@
 	proxy, stopProxy := qhproxy.New(qhproxy.Options{
 		Self:     n.Settings.ID,
 		Zone:     n.Settings.Zone,
-		Settings: n.Settings.Calls,
+		Settings: n.calls(),
 		Snapshot: n.holder.Current,
 		View:     n.members.View,
 		Local:    guards.Get,
@@ -162,6 +173,8 @@
 		Store:    store,
 		Dialect:  n.dialect(),
 		Beside:   n.beside,
+		Budgets:  n.budgets(),
+		Heard:    n.heard,
 	})
 	n.proxy = proxy
 	stops.add(stopProxy)
--- a/qhnode/qhserve/source.go
+++ b/qhnode/qhserve/source.go
@@ -7,12 +7,15 @@
 	"time"
 
 	"quetzalhaven.dev/platform"
+	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qhdialect"
 	"quetzalhaven.dev/qhfeed"
 	"quetzalhaven.dev/qhhead"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmember"
 	"quetzalhaven.dev/qhplatform"
+	"quetzalhaven.dev/qhretry"
+	"quetzalhaven.dev/qhsetting"
 	"quetzalhaven.dev/qhspread"
 	"quetzalhaven.dev/qhstatus"
 )
@@ -22,6 +25,12 @@
 	storeRate = 10
 	// storeWait is how long a watch of such a store is held.
 	storeWait = 20 * time.Second
+	// lingerShare is the part of the grace period in which callers are still
+	// served, since the platform takes a while to send them elsewhere.
+	lingerShare = 0.45
+	// drainShare is the part of the time to drain in which a target that leaves
+	// takes what waits for it.
+	drainShare = 0.5
 	// lapseBeats is how many announcements in a row a target may miss.
 	lapseBeats = 4
 )
@@ -77,17 +86,23 @@
 		Store:   store,
 		Holder:  n.holder,
 		Members: n.members,
-		Seeds:   func() []qhid.Address { return n.Settings.Seeds },
+		Seeds:   func() []qhid.Address { return n.latest.Load().Seeds },
 		Log:     n.Log,
 		Metrics: n.metrics,
 	})
+	n.heard = feed.Heard
 	return source{
-		ready:    feed.Ready(),
-		announce: feed.Announce,
-		leave:    feed.Leave,
-		summary:  func() qhstatus.Summary { return qhstatus.Summary{} },
-		state:    func() qhspread.State { return qhspread.State{} },
-		peers:    feed.Handler(),
+		ready: feed.Ready(),
+		announce: func(state qhmember.State, targets []qhmember.Target) {
+			feed.Announce(state, targets)
+			if state == qhmember.Leaving {
+				n.group.Go(feed.Leave)
+			}
+		},
+		leave:   feed.Leave,
+		summary: func() qhstatus.Summary { return qhstatus.Summary{} },
+		state:   func() qhspread.State { return qhspread.State{} },
+		peers:   feed.Handler(),
 	}, stop
 }
 
@@ -110,10 +125,11 @@
 
 // beside returns the service whose target is on this VM.
 func (n *Node) beside() qhid.Service {
-	if n.Settings.Beside == nil {
+	beside := n.latest.Load().Beside
+	if beside == nil {
 		return ""
 	}
-	return n.Settings.Beside.Service
+	return beside.Service
 }
 
 func (n *Node) targetsHandler() http.Handler {
@@ -127,3 +143,22 @@
 func (n *Node) lapse() time.Duration {
 	return max(announceLapse, lapseBeats*time.Duration(n.Settings.Bounds.Beat))
 }
+
+// budgets returns the node's part of the bound on repeats that all nodes share,
+// nil where there is none.
+func (n *Node) budgets() *qhretry.Budgets {
+	bounds := n.Settings.Bounds
+	if bounds.Window == 0 {
+		return nil
+	}
+	return qhretry.NewShared(bounds.Ratio, bounds.Slack, func() int { return len(n.members.View().Entries) })
+}
+
+// calls returns the settings of calls, with what the bounds add to them.
+func (n *Node) calls() qhsetting.Calls {
+	calls := n.Settings.Calls
+	if n.Settings.Store != nil && calls.Linger == 0 {
+		calls.Linger = qhconfig.Duration(lingerShare * float64(calls.Grace))
+	}
+	return calls
+}
--- a/qhplatform/http.go
+++ b/qhplatform/http.go
@@ -229,8 +229,8 @@
 }
 
 // follow waits for one bounded time.
-func (c *client) follow(ctx context.Context, prefix Key, after Revision) (Changes, error) {
-	body, err := c.call(ctx, Call{Op: OpFollow, Key: prefix, At: after, Wait: c.Wait})
+func (c *client) follow(ctx context.Context, prefix Key, after Revision, wait time.Duration) (Changes, error) {
+	body, err := c.call(ctx, Call{Op: OpFollow, Key: prefix, At: after, Wait: orDefault(wait, c.Wait)})
 	if err != nil {
 		return Changes{}, err
 	}
--- a/qhplatform/http_call.go
+++ b/qhplatform/http_call.go
@@ -62,7 +62,7 @@
 	timeout, client := c.Timeout, c.calls
 	switch {
 	case call.Op.waits():
-		timeout, client = c.Wait+c.Timeout, c.watches
+		timeout, client = call.Wait+c.Timeout, c.watches
 	case c.isBulk(call.Key):
 		client = c.bulk
 	}
--- a/qhplatform/memory.go
+++ b/qhplatform/memory.go
@@ -73,8 +73,8 @@
 		Delete: m.delete,
 		List:   m.list,
 		ListAt: m.listAt,
-		Follow: func(ctx context.Context, prefix Key, after Revision) (Changes, error) {
-			return m.follow(ctx, prefix, after, m.watch)
+		Follow: func(ctx context.Context, prefix Key, after Revision, wait time.Duration) (Changes, error) {
+			return m.follow(ctx, prefix, after, min(m.watch, orDefault(wait, m.watch)))
 		},
 		Watch: func(ctx context.Context, key Key, after Revision) (Object, error) {
 			return m.wait(ctx, key, after, m.watch)
--- a/qhplatform/store.go
+++ b/qhplatform/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"time"
 
 	"quetzalhaven.dev/qhid"
 )
@@ -62,8 +63,9 @@
 	ListAt func(ctx context.Context, prefix Key) (Listing, error)
 	// Follow waits for changes after the revision and returns them, or none
 	// where nothing changed within the platform's bound. It returns Conflict
-	// where the platform no longer knows that history: list again then.
-	Follow func(ctx context.Context, prefix Key, after Revision) (Changes, error)
+	// where the platform no longer knows that history: list again then. wait is
+	// how long the platform is asked to hold the call; 0 for its usual time.
+	Follow func(ctx context.Context, prefix Key, after Revision, wait time.Duration) (Changes, error)
 	// Watch waits until the object has a revision above after and returns it,
 	// or returns NotFound where nothing changed within the platform's bound
 	// (the caller then asks again). A waiting watch counts as one call.
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -17,8 +17,11 @@
 )
 
 const (
-	// maxAttempts bounds how often one call is sent, with the first time.
+	// maxAttempts bounds the targets that one call comes to, on a route that does
+	// not say.
 	maxAttempts = 3
+	// maxLooks bounds the targets' nodes that are asked for a slot.
+	maxLooks = 6
 	// maxInside bounds the calls of callers that a node carries at a time.
 	maxInside = 16384
 	// maxRequestID bounds the length of a caller's request id.
@@ -38,15 +41,23 @@
 	route    *qhconfig.Route
 	service  *qhconfig.Service
 	tried    qhbalance.Tried
+	// start is when the call came.
+	start time.Time
 	// attempt counts from 1.
 	attempt int
+	// best is the endpoint whose node refused but expects a slot soonest, within
+	// soonest; nil for none.
+	best    *qhmember.Endpoint
+	soonest time.Duration
+	// arrivals counts the attempts that came to a target.
+	arrivals int
 }
 
 // serveCaller takes a call of a caller and finds it a target.
 func (p *Proxy) serveCaller(w http.ResponseWriter, r *http.Request) {
 	p.counts.calls.Inc()
 	start := time.Now()
-	c := &call{proxy: p, in: r, id: p.requestID(r)}
+	c := &call{proxy: p, in: r, id: p.requestID(r), start: start}
 	w.Header()[qhheader.RequestID] = []string{string(c.id)}
 	if !p.callers.enter() {
 		w.Header().Set("Connection", "close")
--- a/qhproxy/drain.go
+++ b/qhproxy/drain.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhgroup"
 )
 
 // cutWait bounds the wait for handlers to return after their calls were cut.
@@ -21,15 +22,17 @@
 }
 
 // Drain gives the targets of this VM no new calls from now on. Their calls in
-// flight may call on through this node; once they are done, callers are refused
-// too, as not run. Drain returns when nothing is left in flight and the outcomes
+// flight may call on through this node; once they are done and the linger time
+// of the settings has passed, callers are refused too, as not run. Drain returns when nothing is left in flight and the outcomes
 // of keyed calls are noted on the platform. What is left
 // after the grace period of the settings, or when the context ends, is cut.
 func (p *Proxy) Drain(ctx context.Context) Drained {
 	p.decide(qhdecision.Decision{Kind: qhdecision.Drained, Reason: qhdecision.StopRequested, Node: p.Self})
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(p.Settings.Grace))
 	defer cancel()
-	if !wait(ctx, p.targets.close()) || !wait(ctx, p.callers.close()) {
+	targets := p.targets.close()
+	qhgroup.Sleep(ctx, time.Duration(p.Settings.Linger))
+	if !wait(ctx, targets) || !wait(ctx, p.callers.close()) {
 		return p.cutAll()
 	}
 	if p.claims != nil {
--- a/qhproxy/failure.go
+++ b/qhproxy/failure.go
@@ -27,6 +27,8 @@
 	// Outcome is NotRun only where no byte of the call was given to a target.
 	Outcome string
 	Status  int
+	// Arrived is set where a target got the call, whatever it did with it.
+	Arrived bool
 	// After is when to come back; 0 for never.
 	After time.Duration
 	// Detail is for people.
@@ -38,7 +40,7 @@
 }
 
 func unknown(reason qhdecision.Reason, status int, detail string) *failure {
-	return &failure{Reason: reason, Outcome: qhheader.Unknown, Status: status, Detail: detail}
+	return &failure{Reason: reason, Arrived: true, Outcome: qhheader.Unknown, Status: status, Detail: detail}
 }
 
 // refusedBy is the failure for a refusal of a guard.
--- a/qhproxy/nodes.go
+++ b/qhproxy/nodes.go
@@ -9,7 +9,9 @@
 	"quetzalhaven.dev/qhdeadline"
 	"quetzalhaven.dev/qhdecision"
 	"quetzalhaven.dev/qhdialect"
+	"quetzalhaven.dev/qhguard"
 	"quetzalhaven.dev/qhheader"
+	"quetzalhaven.dev/qhhold"
 	"quetzalhaven.dev/qhid"
 )
 
@@ -29,9 +31,14 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), left)
 	defer cancel()
+	p.heard(r.Header, d.Node)
 	a, f := p.toTarget(ctx, d.Target, p.nodeHop(r))
+	setVersion(w.Header(), p.Snapshot())
 	w.Header().Set(qhheader.NodeLoad, strconv.Itoa(p.loadOf(d.Target)))
 	if f != nil {
+		if f.Arrived {
+			w.Header().Set(qhheader.NodeArrived, "1")
+		}
 		p.refuse(w, f, d)
 		return
 	}
@@ -45,7 +52,7 @@
 	if err != nil || silence == 0 {
 		silence = time.Duration(p.Settings.Silence)
 	}
-	caller := qhid.Service(r.Header.Get(qhheader.NodeCaller))
+	caller, ask := qhid.Service(r.Header.Get(qhheader.NodeCaller)), askOf(r.Header)
 	dropHop(r.Header)
 	dropMesh(r.Header)
 	delete(r.Header, qhheader.Timeout)
@@ -53,7 +60,50 @@
 	if r.Body != nil && r.Body != http.NoBody && r.ContentLength != 0 {
 		body.stream = r.Body
 	}
-	return &hop{in: r, body: body, header: r.Header, silence: silence, caller: caller}
+	return &hop{in: r, body: body, header: r.Header, silence: silence, caller: caller, ask: ask}
+}
+
+// heard tells of the version that another node has.
+func (p *Proxy) heard(header http.Header, node qhid.Node) {
+	if p.Heard == nil {
+		return
+	}
+	version, err := strconv.ParseUint(header.Get(qhheader.NodeVersion), 10, 64)
+	if err == nil {
+		p.Heard(qhid.Version(version), node)
+	}
+}
+
+// setVersion writes what heard reads.
+func setVersion(header http.Header, snapshot *qhhold.Snapshot) {
+	if snapshot != nil {
+		setAll(header, field{qhheader.NodeVersion, strconv.FormatUint(uint64(snapshot.Version), 10)})
+	}
+}
+
+// askOf reads what the call asks of the target's guard. What is missing or can't
+// be read is unset.
+func askOf(header http.Header) qhguard.Ask {
+	ask := qhguard.Ask{Route: qhid.Route(header.Get(qhheader.NodeRoute))}
+	ask.Priority, _ = strconv.Atoi(header.Get(qhheader.NodePriority))
+	if due, err := qhdeadline.Parse(header.Get(qhheader.NodeDue)); err == nil {
+		ask.Due = time.Now().Add(due)
+	}
+	ask.Patience, _ = qhdeadline.Parse(header.Get(qhheader.NodePatience))
+	return ask
+}
+
+// setAsk writes what askOf reads.
+func setAsk(header http.Header, ask qhguard.Ask) {
+	if ask.Priority != 0 {
+		header.Set(qhheader.NodePriority, strconv.Itoa(ask.Priority))
+	}
+	if !ask.Due.IsZero() {
+		header.Set(qhheader.NodeDue, qhdeadline.Format(time.Until(ask.Due)))
+	}
+	if ask.Patience > 0 {
+		header.Set(qhheader.NodePatience, qhdeadline.Format(ask.Patience))
+	}
 }
 
 // timeLeft returns the time that a call has: what its header says, within the
--- a/qhproxy/proxy.go
+++ b/qhproxy/proxy.go
@@ -16,6 +16,7 @@
 package qhproxy
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/http"
@@ -59,8 +60,12 @@
 	// Beside returns the service whose target is on this VM, empty for none; it
 	// may be nil.
 	Beside func() qhid.Service
+	// Heard is told of the version that another node has; it may be nil.
+	Heard func(version qhid.Version, node qhid.Node)
 	// Store keeps the claims of keyed calls; nil refuses keyed calls.
 	Store *qhplatform.Store
+	// Budgets bounds repeats; by the budget of the settings where it is nil.
+	Budgets *qhretry.Budgets
 	// Random returns a number in [0, n); nil is math/rand.
 	Random func(n int) int
 }
@@ -103,8 +108,8 @@
 	base, cut := context.WithCancelCause(context.Background())
 	proxy := &Proxy{
 		Options:  options,
-		balancer: qhbalance.New(qhbalance.Options{Zone: options.Zone, Random: options.Random}),
-		budgets:  qhretry.NewBudgets(options.Settings.Budget),
+		balancer: qhbalance.New(qhbalance.Options{Zone: options.Zone, Spill: options.Settings.Spill, Random: options.Random}),
+		budgets:  cmp.Or(options.Budgets, qhretry.NewBudgets(options.Settings.Budget)),
 		peers:    peers,
 		counts:   newCounts(options.Metrics),
 		base:     base,
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -1,6 +1,7 @@
 package qhproxy
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -14,13 +15,15 @@
 	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qhdeadline"
 	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhguard"
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhmember"
 )
 
 // send sends the call to a target, and to another one where it may be repeated.
 // Only the caller's own node repeats a call. The call is not run only where no
-// attempt may have run.
+// attempt may have run. A refusal of a target's node is no attempt at a target:
+// the next one is asked at no cost to the budget.
 func (c *call) send(ctx context.Context) (*answer, *failure) {
 	budget := c.proxy.budgets.Of(c.service.Name)
 	budget.Deposit()
@@ -28,21 +31,59 @@
 	for c.attempt = 1; ; c.attempt++ {
 		choice, ok := c.proxy.balancer.Choose(c.view, c.service, &c.tried, time.Now())
 		if !ok {
-			return nil, c.noTarget(worst)
+			return c.last(ctx, worst)
 		}
-		a, f := c.try(ctx, choice)
+		a, f := c.try(ctx, choice, c.patience())
 		if f == nil {
 			return a, nil
 		}
 		c.tried.Add(choice.Endpoint)
+		c.keepBest(choice.Endpoint, f)
 		worst = worse(worst, f)
-		if !c.mayRepeat(ctx, f) || !budget.Withdraw() {
+		if f.Arrived {
+			c.arrivals++
+		}
+		if !c.mayRepeat(ctx, f) || f.Arrived && !budget.Withdraw() {
 			return nil, worst
 		}
+		if c.attempt >= maxLooks {
+			return c.last(ctx, worst)
+		}
 		c.repeated(f, choice.Endpoint)
 	}
 }
 
+// keepBest keeps the endpoint whose node expects a slot soonest.
+func (c *call) keepBest(endpoint *qhmember.Endpoint, f *failure) {
+	if f.Reason == qhdecision.Busy && !f.Arrived && (c.best == nil || f.After < c.soonest) {
+		c.best, c.soonest = endpoint, f.After
+	}
+}
+
+// last asks the node that expects a slot soonest once more, now with all the
+// patience that the deadline leaves. failed is what the attempts so far came to.
+func (c *call) last(ctx context.Context, failed *failure) (*answer, *failure) {
+	if c.best == nil || failed == nil || failed.Outcome != qhheader.NotRun || ctx.Err() != nil {
+		return nil, c.noTarget(failed)
+	}
+	c.attempt++
+	a, f := c.try(ctx, qhbalance.Choice{Endpoint: c.best, Reason: qhdecision.LastAsked}, 0)
+	if f == nil {
+		return a, nil
+	}
+	return nil, worse(failed, f)
+}
+
+// patienceShare is the part of a call's objective that it may wait at one target
+// before others are asked.
+const patienceShare = 0.15
+
+// patience is how long the call may wait for a slot of a target that is not the
+// last to be asked; 0 on routes without an objective, whose calls wait where they are.
+func (c *call) patience() time.Duration {
+	return time.Duration(patienceShare * float64(c.route.Objective))
+}
+
 // worse returns the failure that a call with two failed attempts has: the later
 // one, but what one attempt left unknown stays unknown. before may be nil.
 func worse(before, f *failure) *failure {
@@ -64,7 +105,8 @@
 // mayRepeat tells whether the call may be sent again after the failure: because
 // it has not run, or because its route says that it may run more than once.
 func (c *call) mayRepeat(ctx context.Context, f *failure) bool {
-	if c.attempt >= maxAttempts || ctx.Err() != nil || !c.body.again() {
+	most := cmp.Or(c.route.Attempts, maxAttempts)
+	if c.arrivals >= most || ctx.Err() != nil || !c.body.again() {
 		return false
 	}
 	if f.Outcome == qhheader.NotRun {
@@ -83,14 +125,14 @@
 }
 
 // try sends the call to one endpoint and notes what was seen of it.
-func (c *call) try(ctx context.Context, choice qhbalance.Choice) (*answer, *failure) {
+func (c *call) try(ctx context.Context, choice qhbalance.Choice, patience time.Duration) (*answer, *failure) {
 	endpoint := choice.Endpoint
 	c.chosen(choice)
 	observed := endpoint.Observed
 	observed.Calls.Add(1)
 	observed.InFlight.Add(1)
 	start := time.Now()
-	a, f := c.dispatch(ctx, endpoint)
+	a, f := c.dispatch(ctx, endpoint, patience)
 	if f != nil {
 		observed.InFlight.Add(-1)
 		c.failed(endpoint, f, time.Since(start))
@@ -129,7 +171,7 @@
 		endpoint.Observed.Refusals.Add(1) // sheds load, which is no defect
 		qhbalance.Hint(endpoint, endpoint.Slots, time.Now())
 	case a.StatusCode >= http.StatusInternalServerError:
-		c.fail(endpoint, "status "+strconv.Itoa(a.StatusCode))
+		qhbalance.Fault(endpoint)
 	default:
 		qhbalance.Answer(endpoint, took)
 	}
@@ -168,8 +210,8 @@
 }
 
 // dispatch sends the call to the endpoint, over its node unless that is this one.
-func (c *call) dispatch(ctx context.Context, endpoint *qhmember.Endpoint) (*answer, *failure) {
-	h := &hop{in: c.in, body: c.body, header: c.in.Header, silence: c.silence(), caller: c.proxy.Beside()}
+func (c *call) dispatch(ctx context.Context, endpoint *qhmember.Endpoint, patience time.Duration) (*answer, *failure) {
+	h := &hop{in: c.in, body: c.body, header: c.in.Header, silence: c.silence(), caller: c.proxy.Beside(), ask: c.ask(patience)}
 	if c.attempt > 1 {
 		h.header = c.in.Header.Clone() // an earlier attempt may still read the headers
 	}
@@ -182,6 +224,15 @@
 	return a, f
 }
 
+// ask returns what the call asks of a target.
+func (c *call) ask(patience time.Duration) qhguard.Ask {
+	ask := qhguard.Ask{Route: c.route.Name, Priority: c.route.Priority, Patience: patience}
+	if c.route.Objective > 0 {
+		ask.Due = c.start.Add(time.Duration(c.route.Objective))
+	}
+	return ask
+}
+
 // toNode sends the call to the node of the endpoint.
 func (c *call) toNode(ctx context.Context, endpoint *qhmember.Endpoint, h *hop) (*answer, *failure) {
 	setAll(h.header,
@@ -193,10 +244,12 @@
 		field{qhheader.NodeCaller, string(h.caller)},
 		field{qhheader.Timeout, qhdeadline.Format(timeTo(ctx))},
 	)
+	setAsk(h.header, h.ask)
 	resp, err := c.proxy.peers.RoundTrip(endpoint.Calls, h.request(ctx, endpoint.Calls)) //nolint:bodyclose // pass closes it
 	if err != nil {
 		return nil, failureOf(ctx, err)
 	}
+	c.proxy.heard(resp.Header, endpoint.Node)
 	if load, err := strconv.Atoi(resp.Header.Get(qhheader.NodeLoad)); err == nil {
 		qhbalance.Hint(endpoint, load, time.Now())
 	}
@@ -223,12 +276,11 @@
 		Status:  resp.StatusCode,
 		Detail:  readDetail(resp),
 	}
+	f.Arrived = resp.Header.Get(qhheader.NodeArrived) != ""
 	if outcome == qhheader.NotRun {
 		f.Outcome = qhheader.NotRun
 	}
-	if seconds, err := strconv.Atoi(resp.Header.Get(qhheader.RetryAfter)); err == nil {
-		f.After = time.Duration(seconds) * time.Second
-	}
+	f.After, _ = qhdeadline.Parse(resp.Header.Get(qhheader.RetryAfter)) // 0 where the node says nothing
 	return f
 }
 
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -24,6 +24,8 @@
 	silence time.Duration
 	// caller is the service on whose VM the call began.
 	caller qhid.Service
+	// ask is what the call asks of the target's guard, but for its limits.
+	ask qhguard.Ask
 }
 
 // answer is an answer whose body is still to be read.
@@ -86,7 +88,9 @@
 	if guard == nil {
 		return nil, notRun(qhdecision.NoTarget, http.StatusServiceUnavailable, defaultAfter, "the target has left this node; use another one")
 	}
-	pass, err := guard.Enter(ctx, p.limits(guard))
+	ask := h.ask
+	ask.Limits = p.limits(guard)
+	pass, err := guard.Admit(ctx, ask)
 	if err != nil {
 		return nil, refusedBy(ctx, err)
 	}
@@ -99,6 +103,9 @@
 	var f *failure
 	if err != nil {
 		f = failureOf(ctx, err)
+		if f.Reason == qhdecision.Connect {
+			guard.Broke()
+		}
 	} else {
 		f = p.untrue(h, resp)
 	}
@@ -126,6 +133,7 @@
 		f = unknown(qhdecision.Connection, http.StatusBadGateway, "the target's answer is for another call")
 	case p.Dialect.Unrun(resp):
 		f = notRun(qhdecision.Busy, http.StatusServiceUnavailable, defaultAfter, "the target did not take the call, status "+strconv.Itoa(resp.StatusCode))
+		f.Arrived = true
 	case resp.Header.Get("Content-Encoding") != "":
 		f = unknown(qhdecision.Connection, http.StatusBadGateway, "the target's answer is encoded, which was not asked for")
 	default:
--- a/qhsetting/node.go
+++ b/qhsetting/node.go
@@ -132,8 +132,14 @@
 	Body qhid.Bytes `json:"body" validate:"min=1"`
 	// Grace bounds a graceful stop.
 	Grace qhconfig.Duration `json:"grace" validate:"gt=0"`
+	// Linger is how long callers are still served after a stop began, until they
+	// have noticed it.
+	Linger qhconfig.Duration `json:"linger,omitempty" validate:"min=0"`
 	// Budget is the share of calls that may be repeats.
 	Budget qhid.Percent `json:"budget" validate:"min=0,max=100"`
+	// Spill is how full, in hundredths of its slots, the better target of the own
+	// availability zone is when others are considered.
+	Spill int64 `json:"spill,omitempty" validate:"min=0,max=1000"`
 	// Decisions is how many recent decisions are kept for explain.
 	Decisions int `json:"decisions" validate:"min=1,max=1000000"`
 }
