qhguard: Share slots by priority with weights, and admit what is due in time

Change: each priority gets half the slots of the one before it while all are short of room; a call waits only while its answer is due in time; the time since a caller's first try is learned from what it says it waits; calls stay in their zone while an answer is expected within 0.7 of the objective.

--- a/qhbalance/choose.go
+++ b/qhbalance/choose.go
@@ -106,12 +106,22 @@
 // have room go first, those of the own availability zone before others. Where
 // they are full and most of a side looks unusable, the evidence is doubted.
 func (b *Balancer) Choose(view *qhmember.View, service *qhconfig.Service, tried *Tried, now time.Time) (Choice, bool) {
+	return b.ChooseWithin(view, service, tried, now, 0)
+}
+
+// stayShare is the part of a call's objective within which an answer of the own
+// availability zone is expected for the call to stay there.
+const stayShare = 0.7
+
+// ChooseWithin is Choose for a call that stays in the own availability zone while
+// an answer is expected well within its objective; 0 is none.
+func (b *Balancer) ChooseWithin(view *qhmember.View, service *qhconfig.Service, tried *Tried, now time.Time, objective time.Duration) (Choice, bool) {
 	pool := b.pools.of(view, service.Name)
 	pool.near.refresh(now)
 	pool.far.refresh(now)
 	near := pick{balancer: b, side: &pool.near, service: service, tried: tried, now: now}
 	own := near.better(qhdecision.OwnZone)
-	if own.hasRoom(b.spill, now) {
+	if own.hasRoom(b.spill, now) || own.within(stayShare*float64(objective), now) {
 		return own, true
 	}
 	far := near
@@ -135,6 +145,11 @@
 	return other, other.Endpoint != nil
 }
 
+// within tells whether an answer is expected within the time, in nanoseconds.
+func (c *Choice) within(time float64, now time.Time) bool {
+	return c.Endpoint != nil && cost(c.Endpoint, c.Endpoint.Observed.Latency.Load(), now) < time
+}
+
 // hasRoom tells whether there is an endpoint that is less full than the bound.
 func (c *Choice) hasRoom(bound int64, now time.Time) bool {
 	return c.Endpoint != nil && fullness(c.Endpoint, now) < bound
--- a/qhguard/guard.go
+++ b/qhguard/guard.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -74,6 +75,8 @@
 	means map[qhid.Route]time.Duration
 	// broken is until when the target counts as out of reach.
 	broken time.Time
+	// used is the time of slots that went to each priority, by its weight.
+	used [maxWeighed + 1]float64
 	// drain is how long a target that leaves takes what waits; 0 for no bound.
 	drain time.Duration
 	// stopped refuses everything new.
@@ -192,16 +195,35 @@
 	if len(g.queue) >= g.queueBound(slots) {
 		return &Refusal{Reason: qhdecision.Busy, After: g.waitFor(len(g.queue)) + minAfter}
 	}
-	wait := g.waitFor(g.ahead(w))
+	wait := g.waitOf(w)
 	if w.ask.Patience > 0 && wait > w.ask.Patience {
 		return &Refusal{Reason: qhdecision.Busy, After: wait + minAfter}
 	}
-	if !w.deadline.IsZero() && now.Add(wait+g.meanOf(w.ask.Route)).After(w.deadline) {
+	if wait > g.useful(now, w) {
 		return &Refusal{Reason: qhdecision.Late, After: wait + minAfter}
 	}
 	return nil
 }
 
+// lateShare is the part of the time to its deadline that a call may wait whose
+// answer comes too late to be of full use.
+const lateShare = 0.2
+
+// useful returns how long the wait of a call may be: so that its answer is due in
+// time, or where that can't be, a small part of the time that it has. The lock
+// is held.
+func (g *Guard) useful(now time.Time, w *waiter) time.Duration {
+	mean := g.meanOf(w.ask.Route)
+	if w.deadline.IsZero() {
+		return math.MaxInt64
+	}
+	rest := w.deadline.Sub(now) - mean
+	if w.ask.Due.IsZero() {
+		return rest
+	}
+	return min(rest, max(w.due().Sub(now)-mean, time.Duration(lateShare*float64(rest))))
+}
+
 // refuseHopeless refuses those in the queue that would get a slot too late for
 // their deadlines, since more urgent ones came. The lock is held.
 func (g *Guard) refuseHopeless(now time.Time) {
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -41,8 +41,9 @@
 	route    *qhconfig.Route
 	service  *qhconfig.Service
 	tried    qhbalance.Tried
-	// start is when the call came.
-	start time.Time
+	// due is until when an answer is of full use to the caller; zero where the
+	// route does not say.
+	due time.Time
 	// attempt counts from 1.
 	attempt int
 	// best is the endpoint whose node refused but expects a slot soonest, within
@@ -57,7 +58,7 @@
 func (p *Proxy) serveCaller(w http.ResponseWriter, r *http.Request) {
 	p.counts.calls.Inc()
 	start := time.Now()
-	c := &call{proxy: p, in: r, id: p.requestID(r), start: start}
+	c := &call{proxy: p, in: r, id: p.requestID(r)}
 	w.Header()[qhheader.RequestID] = []string{string(c.id)}
 	if !p.callers.enter() {
 		w.Header().Set("Connection", "close")
@@ -99,6 +100,7 @@
 	if f != nil {
 		return start, f
 	}
+	c.due = c.proxy.dueOf(c.in, c.route, start)
 	deadline := start.Add(left)
 	return deadline, c.readBody(w, deadline)
 }
--- a/qhproxy/proxy.go
+++ b/qhproxy/proxy.go
@@ -80,6 +80,8 @@
 	// claims is nil where there is no store.
 	claims  *qhclaim.Claims
 	buffers buffers
+	// spans has the longest time that callers of a route wait.
+	spans spans
 	// random returns a number in [0, n).
 	random func(n int) int
 	// base is the parent of the contexts of all calls. It ends when calls are cut.
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -29,11 +29,11 @@
 	budget.Deposit()
 	var worst *failure
 	for c.attempt = 1; ; c.attempt++ {
-		choice, ok := c.proxy.balancer.Choose(c.view, c.service, &c.tried, time.Now())
+		choice, ok := c.proxy.balancer.ChooseWithin(c.view, c.service, &c.tried, time.Now(), time.Duration(c.route.Objective))
 		if !ok {
 			return c.last(ctx, worst)
 		}
-		a, f := c.try(ctx, choice, c.patience())
+		a, f := c.try(ctx, choice, c.patience(choice.Endpoint))
 		if f == nil {
 			return a, nil
 		}
@@ -74,14 +74,22 @@
 	return nil, worse(failed, f)
 }
 
-// patienceShare is the part of a call's objective that it may wait at one target
-// before others are asked.
-const patienceShare = 0.15
+// nearPatience and farPatience are the parts of a call's objective that it may
+// wait at one target before others are asked, in the own availability zone and
+// in others.
+const (
+	nearPatience = 0.4
+	farPatience  = 0.15
+)
 
 // patience is how long the call may wait for a slot of a target that is not the
 // last to be asked; 0 on routes without an objective, whose calls wait where they are.
-func (c *call) patience() time.Duration {
-	return time.Duration(patienceShare * float64(c.route.Objective))
+func (c *call) patience(endpoint *qhmember.Endpoint) time.Duration {
+	share := farPatience
+	if endpoint.Zone == c.proxy.Zone {
+		share = nearPatience
+	}
+	return time.Duration(share * float64(c.route.Objective))
 }
 
 // worse returns the failure that a call with two failed attempts has: the later
@@ -226,10 +234,7 @@
 
 // ask returns what the call asks of a target.
 func (c *call) ask(patience time.Duration) qhguard.Ask {
-	ask := qhguard.Ask{Route: c.route.Name, Priority: c.route.Priority, Patience: patience}
-	if c.route.Objective > 0 {
-		ask.Due = c.start.Add(time.Duration(c.route.Objective))
-	}
+	ask := qhguard.Ask{Route: c.route.Name, Priority: c.route.Priority, Due: c.due, Patience: patience}
 	return ask
 }
 
