--- a/qhdecision/decision.go
+++ b/qhdecision/decision.go
@@ -23,6 +23,8 @@
 	Ejected Kind = "ejected"
 	// Broken is an answer that broke off after its first byte.
 	Broken Kind = "broken"
+	// Answered is a call that got an answer of a target.
+	Answered Kind = "answered"
 	// Drained is a node that takes no new calls.
 	Drained Kind = "drained"
 	// Cut is a call that was ended by a stop at its bound.
@@ -79,6 +81,9 @@
 	Node    qhid.Node    `json:"node,omitempty"`
 	// Attempt counts from 1.
 	Attempt int `json:"attempt,omitempty"`
+	// Status is that of the answer, and Took the time until it began.
+	Status int           `json:"status,omitempty"`
+	Took   time.Duration `json:"took,omitempty"`
 	// Other is the endpoint that lost the choice.
 	Other qhid.Target `json:"other,omitempty"`
 	// Detail is for people, such as the text of an error.
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -20,6 +20,8 @@
 	// maxAttempts bounds the targets that one call comes to, on a route that does
 	// not say.
 	maxAttempts = 3
+	// minSilence is the shortest time after which an answer is taken for lost.
+	minSilence = 200 * time.Millisecond
 	// maxLooks bounds the targets' nodes that are asked for a slot.
 	maxLooks = 6
 	// maxInside bounds the calls of callers that a node carries at a time.
@@ -46,10 +48,16 @@
 	due time.Time
 	// attempt counts from 1.
 	attempt int
+	// endpoint is the last one that the call was sent to.
+	endpoint *qhmember.Endpoint
 	// best is the endpoint whose node refused but expects a slot soonest, within
 	// soonest; nil for none.
 	best    *qhmember.Endpoint
 	soonest time.Duration
+	// askedNear is set once a target of the own availability zone was asked, and
+	// farLooks counts those of others asked after it.
+	askedNear bool
+	farLooks  int
 	// arrivals counts the attempts that came to a target.
 	arrivals int
 }
@@ -89,6 +97,10 @@
 		return
 	}
 	p.counts.add(time.Since(start) - a.took)
+	answered := c.decision()
+	answered.Target, answered.Node = c.endpoint.ID, c.endpoint.Node
+	answered.Kind, answered.Status, answered.Took = qhdecision.Answered, a.StatusCode, time.Since(start)
+	p.decide(answered)
 	p.pass(w, a, c.decision())
 }
 
@@ -177,11 +189,16 @@
 	return nil
 }
 
-// silence bounds the wait for the first byte of the answer.
+// silence bounds the wait for the first byte of the answer. Where the call can be
+// sent to another target, an answer that is later than its objective is taken
+// for lost.
 func (c *call) silence() time.Duration {
 	if c.route.Silence > 0 {
 		return time.Duration(c.route.Silence)
 	}
+	if c.route.Repeat == qhconfig.RepeatSafe && c.route.Objective > 0 && c.arrivals+1 < c.mostArrivals() && c.proxy.budgets.Of(c.service.Name).Left() {
+		return max(minSilence, time.Duration(c.route.Objective))
+	}
 	return qhdeadline.Shortest(time.Duration(c.proxy.Settings.Silence))
 }
 
--- a/qhproxy/conn.go
+++ b/qhproxy/conn.go
@@ -77,6 +77,15 @@
 	return conn
 }
 
+// CloseWrite ends what is written, so that an answer arrives although not all of
+// its request was read.
+func (c *callerConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return c.Conn.Close()
+}
+
 // Read hands out what was read ahead, and reads on after it.
 func (c *callerConn) Read(into []byte) (int, error) {
 	for {
--- a/qhproxy/log.go
+++ b/qhproxy/log.go
@@ -1,36 +1,51 @@
 package qhproxy
 
 import (
-	"time"
-
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"quetzalhaven.dev/qhdecision"
 )
 
-// The sampling of the log: of each message, so many in each tick, and then one
-// in so many.
-const (
-	logTick  = time.Second
-	logFirst = 10
-	logThen  = 1000
-)
-
-// sampled returns the log with its messages sampled.
-func sampled(log *zap.Logger) *zap.Logger {
-	return log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
-		return zapcore.NewSamplerWithOptions(core, logTick, logFirst, logThen)
-	}))
+// logDecision writes one line for a decision on a call: what was decided, why,
+// and what it was decided by. What went well is at the level info, what failed
+// at warn.
+func (p *Proxy) logDecision(d *qhdecision.Decision) {
+	level := zapcore.InfoLevel
+	switch d.Kind {
+	case qhdecision.Refused, qhdecision.Broken, qhdecision.Repeated, qhdecision.Cut:
+		level = zapcore.WarnLevel
+	}
+	entry := p.Log.Check(level, "call "+string(d.Kind))
+	if entry == nil {
+		return
+	}
+	fields := make([]zap.Field, 0, maxDecisionFields)
+	text := func(key, value string) {
+		if value != "" {
+			fields = append(fields, zap.String(key, value))
+		}
+	}
+	text("request", string(d.Request))
+	text("reason", string(d.Reason))
+	text("outcome", d.Outcome)
+	text("route", string(d.Route))
+	text("service", string(d.Service))
+	text("target", string(d.Target))
+	text("at", string(d.Node))
+	text("rather", string(d.Other))
+	text("detail", d.Detail)
+	if d.Version != 0 {
+		fields = append(fields, zap.Uint64("version", uint64(d.Version)))
+	}
+	if d.Attempt > 0 {
+		fields = append(fields, zap.Int("attempt", d.Attempt))
+	}
+	if d.Status > 0 {
+		fields = append(fields, zap.Int("status", d.Status), zap.Duration("took", d.Took))
+	}
+	entry.Write(fields...)
 }
 
-// logRefusal writes why a call was answered by the mesh itself.
-func (p *Proxy) logRefusal(f *failure, d qhdecision.Decision) {
-	p.Log.Info("call refused",
-		zap.String("request", string(d.Request)),
-		zap.String("reason", string(f.Reason)),
-		zap.String("outcome", f.Outcome),
-		zap.String("route", string(d.Route)),
-		zap.String("detail", f.Detail),
-	)
-}
+// maxDecisionFields is the most fields of a line.
+const maxDecisionFields = 14
--- a/qhproxy/nodes.go
+++ b/qhproxy/nodes.go
@@ -131,6 +131,5 @@
 	d.Kind, d.Reason, d.Outcome, d.Detail = qhdecision.Refused, f.Reason, f.Outcome, f.Detail
 	p.decide(d)
 	p.counts.refused(f)
-	p.logRefusal(f, d)
 	p.writeFailure(w, f)
 }
--- a/qhproxy/proxy.go
+++ b/qhproxy/proxy.go
@@ -99,7 +99,6 @@
 // New returns a proxy and its clean-up, which cuts what is still in flight and
 // closes the connections to other nodes.
 func New(options Options) (*Proxy, func()) {
-	options.Log = sampled(options.Log)
 	if options.Dialect.Left == nil {
 		options.Dialect = qhdialect.Own()
 	}
@@ -150,4 +149,5 @@
 func (p *Proxy) decide(d qhdecision.Decision) {
 	d.Time = time.Now()
 	p.Ring.Add(d)
+	p.logDecision(&d)
 }
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -30,7 +30,7 @@
 	var worst *failure
 	for c.attempt = 1; ; c.attempt++ {
 		choice, ok := c.proxy.balancer.ChooseWithin(c.view, c.service, &c.tried, time.Now(), time.Duration(c.route.Objective))
-		if !ok {
+		if !ok || c.spilled(choice.Endpoint) {
 			return c.last(ctx, worst)
 		}
 		a, f := c.try(ctx, choice, c.patience(choice.Endpoint))
@@ -53,9 +53,23 @@
 	}
 }
 
-// keepBest keeps the endpoint whose node expects a slot soonest.
+// spilled tells whether the call was sent out of its availability zone often
+// enough, and counts that it is to be. Where the zone has targets, others take
+// what spills over by slots that are free; more asking costs bytes between zones.
+func (c *call) spilled(endpoint *qhmember.Endpoint) bool {
+	if endpoint.Zone == c.proxy.Zone || !c.askedNear {
+		return false
+	}
+	c.farLooks++
+	return c.farLooks > maxFarLooks
+}
+
+// keepBest keeps the endpoint whose node expects a slot soonest, one of the own
+// availability zone where there is one.
 func (c *call) keepBest(endpoint *qhmember.Endpoint, f *failure) {
-	if f.Reason == qhdecision.Busy && !f.Arrived && (c.best == nil || f.After < c.soonest) {
+	near := endpoint.Zone == c.proxy.Zone
+	c.askedNear = c.askedNear || near
+	if f.Reason == qhdecision.Busy && !f.Arrived && (near || !c.askedNear) && (c.best == nil || f.After < c.soonest) {
 		c.best, c.soonest = endpoint, f.After
 	}
 }
@@ -74,22 +88,24 @@
 	return nil, worse(failed, f)
 }
 
-// nearPatience and farPatience are the parts of a call's objective that it may
-// wait at one target before others are asked, in the own availability zone and
-// in others.
 const (
+	// nearPatience is the part of a call's objective that it may wait at one
+	// target of the own availability zone before others are asked.
 	nearPatience = 0.4
-	farPatience  = 0.15
+	// spillPatience is how long a call may wait at a target of another zone when
+	// its own has targets: only for a slot that is free.
+	spillPatience = time.Millisecond
+	// maxFarLooks bounds the targets of other zones that are asked then.
+	maxFarLooks = 2
 )
 
 // patience is how long the call may wait for a slot of a target that is not the
 // last to be asked; 0 on routes without an objective, whose calls wait where they are.
 func (c *call) patience(endpoint *qhmember.Endpoint) time.Duration {
-	share := farPatience
-	if endpoint.Zone == c.proxy.Zone {
-		share = nearPatience
+	if c.askedNear && endpoint.Zone != c.proxy.Zone && c.route.Objective > 0 {
+		return spillPatience
 	}
-	return time.Duration(share * float64(c.route.Objective))
+	return time.Duration(nearPatience * float64(c.route.Objective))
 }
 
 // worse returns the failure that a call with two failed attempts has: the later
@@ -110,11 +126,13 @@
 	return notRun(qhdecision.NoTarget, http.StatusServiceUnavailable, defaultAfter, "no target of the service takes calls")
 }
 
+// mostArrivals is how many targets the call may come to.
+func (c *call) mostArrivals() int { return cmp.Or(c.route.Attempts, maxAttempts) }
+
 // mayRepeat tells whether the call may be sent again after the failure: because
 // it has not run, or because its route says that it may run more than once.
 func (c *call) mayRepeat(ctx context.Context, f *failure) bool {
-	most := cmp.Or(c.route.Attempts, maxAttempts)
-	if c.arrivals >= most || ctx.Err() != nil || !c.body.again() {
+	if c.arrivals >= c.mostArrivals() || ctx.Err() != nil || !c.body.again() {
 		return false
 	}
 	if f.Outcome == qhheader.NotRun {
@@ -135,6 +153,7 @@
 // try sends the call to one endpoint and notes what was seen of it.
 func (c *call) try(ctx context.Context, choice qhbalance.Choice, patience time.Duration) (*answer, *failure) {
 	endpoint := choice.Endpoint
+	c.endpoint = endpoint
 	c.chosen(choice)
 	observed := endpoint.Observed
 	observed.Calls.Add(1)
--- a/qhretry/budget.go
+++ b/qhretry/budget.go
@@ -44,6 +44,9 @@
 	}
 }
 
+// Left tells whether a repeat could be sent now.
+func (b *Budget) Left() bool { return b.tokens.Load() >= repeatTokens }
+
 // Withdraw tells whether a repeat may be sent, and counts it.
 func (b *Budget) Withdraw() bool {
 	for {
--- a/qhsetting/node.go
+++ b/qhsetting/node.go
@@ -147,6 +147,8 @@
 // Log is how a process writes its log.
 type Log struct {
 	Level string `json:"level" validate:"oneof=debug info warn error"`
+	// Output is stdout or stderr; empty is stderr.
+	Output string `json:"output,omitempty" validate:"omitempty,oneof=stdout stderr"`
 	// Format is json, console, or auto for console on a terminal.
 	Format string `json:"format" validate:"oneof=json console auto"`
 }
