--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -20,8 +20,6 @@
 	// maxAttempts bounds the targets that one call comes to, on a route that does
 	// not say.
 	maxAttempts = 3
-	// minSilence is the shortest time after which an answer is taken for lost.
-	minSilence = 200 * time.Millisecond
 	// maxLooks bounds the targets' nodes that are asked for a slot.
 	maxLooks = 6
 	// maxInside bounds the calls of callers that a node carries at a time.
@@ -189,16 +187,11 @@
 	return nil
 }
 
-// silence bounds the wait for the first byte of the answer. Where the call can be
-// sent to another target, an answer that is later than its objective is taken
-// for lost.
+// silence bounds the wait for the first byte of the answer.
 func (c *call) silence() time.Duration {
 	if c.route.Silence > 0 {
 		return time.Duration(c.route.Silence)
 	}
-	if c.route.Repeat == qhconfig.RepeatSafe && c.route.Objective > 0 && c.arrivals+1 < c.mostArrivals() && c.proxy.budgets.Of(c.service.Name).Left() {
-		return max(minSilence, time.Duration(c.route.Objective))
-	}
 	return qhdeadline.Shortest(time.Duration(c.proxy.Settings.Silence))
 }
 
--- a/qhretry/budget.go
+++ b/qhretry/budget.go
@@ -44,9 +44,6 @@
 	}
 }
 
-// Left tells whether a repeat could be sent now.
-func (b *Budget) Left() bool { return b.tokens.Load() >= repeatTokens }
-
 // Withdraw tells whether a repeat may be sent, and counts it.
 func (b *Budget) Withdraw() bool {
 	for {
