qhguard: Urgent calls first, and none starved; spill only where there is room

Change: strict priority, but a priority served less than 0.4 as often as all goes first; a door of another zone that was full is left alone for a second, and is asked only while it is believed to have free slots.

--- a/qhbalance/choose.go
+++ b/qhbalance/choose.go
@@ -88,6 +88,8 @@
 	// Other is the one that it was preferred to, or nil.
 	Other  *qhmember.Endpoint
 	Reason qhdecision.Reason
+	// Room is set where the endpoint is believed to have free slots.
+	Room bool
 }
 
 // pick is what one choice on one side needs to know.
@@ -128,6 +130,7 @@
 	far.side = &pool.far
 	other := far.better(qhdecision.OtherZone)
 	if other.hasRoom(roomPercent, now) {
+		other.Room = true
 		if own.Endpoint != nil {
 			other.Reason, other.Other = qhdecision.SpillOver, own.Endpoint
 		}
@@ -308,5 +311,8 @@
 
 // fullness returns the load in hundredths of the slots.
 func fullness(endpoint *qhmember.Endpoint, now time.Time) int64 {
+	if endpoint.Observed.Full.Load() > now.UnixNano() {
+		return 100
+	}
 	return load(endpoint, now) * 100 / slots(endpoint)
 }
--- a/qhbalance/observe.go
+++ b/qhbalance/observe.go
@@ -80,6 +80,15 @@
 	return span, true
 }
 
+// fullSpan is how long an endpoint of another availability zone that had no free
+// slot counts as full.
+const fullSpan = time.Second
+
+// Refuse notes that the endpoint had no free slot.
+func Refuse(endpoint *qhmember.Endpoint, now time.Time) {
+	endpoint.Observed.Full.Store(now.Add(fullSpan).UnixNano())
+}
+
 // Overdue tells whether a call that ended at its deadline had waited so long
 // that the endpoint is to blame.
 func Overdue(endpoint *qhmember.Endpoint, waited time.Duration) bool {
--- a/qhguard/guard.go
+++ b/qhguard/guard.go
@@ -75,8 +75,8 @@
 	means map[qhid.Route]time.Duration
 	// broken is until when the target counts as out of reach.
 	broken time.Time
-	// used is the time of slots that went to each priority, by its weight.
-	used [maxWeighed + 1]float64
+	// fair has how often each priority was served lately.
+	fair fairness
 	// drain is how long a target that leaves takes what waits; 0 for no bound.
 	drain time.Duration
 	// stopped refuses everything new.
@@ -138,12 +138,13 @@
 	w := &waiter{ask: ask, deadline: deadline, decided: make(chan struct{})}
 	g.mu.Lock()
 	g.limits = ask.Limits
+	g.fair.ask(now, ask.Priority)
 	if refusal := g.refuse(now, w); refusal != nil {
 		g.mu.Unlock()
 		return nil, refusal
 	}
 	if g.running < g.slots() && len(g.queue) == 0 {
-		pass := g.enter(ask.Route, now)
+		pass := g.enter(ask, now)
 		g.mu.Unlock()
 		return pass, nil
 	}
@@ -195,7 +196,7 @@
 	if len(g.queue) >= g.queueBound(slots) {
 		return &Refusal{Reason: qhdecision.Busy, After: g.waitFor(len(g.queue)) + minAfter}
 	}
-	wait := g.waitOf(w)
+	wait := g.waitOf(now, w)
 	if w.ask.Patience > 0 && wait > w.ask.Patience {
 		return &Refusal{Reason: qhdecision.Busy, After: wait + minAfter}
 	}
@@ -298,13 +299,14 @@
 	return g.mean * time.Duration(ahead+1) / time.Duration(g.slots())
 }
 
-// enter takes a slot for a call of the route. Where the call takes far longer
+// enter takes a slot for a call. Where the call takes far longer
 // than usual its answer was probably lost, and the slot counts as free again.
 // The lock is held.
-func (g *Guard) enter(route qhid.Route, now time.Time) *Pass {
+func (g *Guard) enter(ask Ask, now time.Time) *Pass {
 	g.running++
-	pass := &Pass{guard: g, route: route, start: now}
-	if mean := g.meanOf(route); mean > 0 {
+	g.fair.serve(ask.Priority)
+	pass := &Pass{guard: g, route: ask.Route, start: now}
+	if mean := g.meanOf(ask.Route); mean > 0 {
 		pass.overdue = time.AfterFunc(max(overdueMin, overdueTimes*mean), pass.release)
 	}
 	return pass
--- a/qhguard/queue.go
+++ b/qhguard/queue.go
@@ -1,7 +1,6 @@
 package qhguard
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -85,68 +84,46 @@
 			w.refuse(&Refusal{Reason: qhdecision.Late, After: g.waitFor(len(g.queue)) + minAfter})
 			continue
 		}
-		g.charge(w)
-		w.pass = g.enter(w.ask.Route, now)
+		w.pass = g.enter(w.ask, now)
 		close(w.decided)
 	}
 }
 
-// weight is the part of the slots that a priority gets while all are short of
-// room, in relation to the others: half of that of the one before.
-func weight(priority int) float64 { return math.Exp2(-float64(min(priority, maxWeighed))) }
-
-// maxWeighed is the last priority that has a weight of its own.
-const maxWeighed = 8
-
-// next returns the waiter that gets the next slot. Of each priority it is the
-// first one whose answer can still be of full use; among them, that of the
-// priority that had least of its part. Only where no answer can be of full use
-// it is the first. The lock is held.
+// next returns the waiter that gets the next slot: of those whose answers can
+// still be of full use the first one of a starved priority, else the first. Only
+// where no answer can be of full use it is the first of all. The lock is held.
 func (g *Guard) next(now time.Time) int {
-	best, least := -1, 0.0
+	first := -1
 	for i, w := range g.queue {
-		if i > 0 && g.queue[i-1].ask.Priority == w.ask.Priority && best >= 0 && g.queue[best].ask.Priority == w.ask.Priority {
-			continue
-		}
 		due := w.due()
 		if !due.IsZero() && now.Add(g.meanOf(w.ask.Route)/2).After(due) {
 			continue
 		}
-		if used := g.used[min(w.ask.Priority, maxWeighed)]; best < 0 || used < least {
-			best, least = i, used
+		if g.fair.starved(w.ask.Priority) {
+			return i
+		}
+		if first < 0 {
+			first = i
 		}
 	}
-	return max(best, 0)
+	return max(first, 0)
 }
 
-// charge counts a slot that went to a waiter against its priority. A priority
-// that had nobody waiting starts level with the others. The lock is held.
-func (g *Guard) charge(w *waiter) {
-	p := min(w.ask.Priority, maxWeighed)
-	level := g.used[p]
-	for _, other := range g.queue {
-		level = max(level, g.used[min(other.ask.Priority, maxWeighed)]-float64(g.meanOf(other.ask.Route)))
+// waitOf returns how long w is expected to wait for a slot. One whose answer is
+// late already goes behind all others. The lock is held.
+func (g *Guard) waitOf(now time.Time, w *waiter) time.Duration {
+	if due := w.due(); !due.IsZero() && now.After(due) {
+		return g.waitFor(len(g.queue))
 	}
-	g.used[p] = level + float64(g.meanOf(w.ask.Route))/weight(w.ask.Priority)
-}
-
-// waitOf returns how long w is expected to wait for a slot. The lock is held.
-func (g *Guard) waitOf(w *waiter) time.Duration {
 	ahead := g.ahead(w)
-	own, shares := 0, weight(w.ask.Priority)
-	last := w.ask.Priority
-	for i, other := range g.queue {
+	if !g.fair.starved(w.ask.Priority) {
+		return g.waitFor(ahead)
+	}
+	own := 0
+	for _, other := range g.queue[:ahead] {
 		if other.ask.Priority == w.ask.Priority {
-			if i < ahead {
-				own++
-			}
-			continue
-		}
-		if other.ask.Priority != last {
-			last = other.ask.Priority
-			shares += weight(other.ask.Priority)
+			own++
 		}
 	}
-	shared := time.Duration(float64(g.waitFor(own)) * shares / weight(w.ask.Priority))
-	return min(shared, g.waitFor(len(g.queue)))
+	return g.waitFor(own)
 }
--- a/qhmember/observed.go
+++ b/qhmember/observed.go
@@ -20,6 +20,9 @@
 	// Hint is the load that the target's node last reported: milliseconds of the
 	// Unix epoch in the upper 48 bits, calls in the lower 16; 0 for none.
 	Hint atomic.Int64
+	// Full is until when the endpoint counts as full, in nanoseconds of the Unix
+	// epoch; 0 for not.
+	Full atomic.Int64
 	// Started is when the endpoint was first seen, in nanoseconds of the Unix epoch.
 	Started atomic.Int64
 	// Calls, Refusals and Errors count what was seen since the endpoint is known.
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -30,7 +30,7 @@
 	var worst *failure
 	for c.attempt = 1; ; c.attempt++ {
 		choice, ok := c.proxy.balancer.ChooseWithin(c.view, c.service, &c.tried, time.Now(), time.Duration(c.route.Objective))
-		if !ok || c.spilled(choice.Endpoint) {
+		if !ok || c.spilled(choice) {
 			return c.last(ctx, worst)
 		}
 		a, f := c.try(ctx, choice, c.patience(choice.Endpoint))
@@ -56,12 +56,12 @@
 // spilled tells whether the call was sent out of its availability zone often
 // enough, and counts that it is to be. Where the zone has targets, others take
 // what spills over by slots that are free; more asking costs bytes between zones.
-func (c *call) spilled(endpoint *qhmember.Endpoint) bool {
-	if endpoint.Zone == c.proxy.Zone || !c.askedNear {
+func (c *call) spilled(choice qhbalance.Choice) bool {
+	if choice.Endpoint.Zone == c.proxy.Zone || !c.askedNear {
 		return false
 	}
 	c.farLooks++
-	return c.farLooks > maxFarLooks
+	return c.farLooks > maxFarLooks || !choice.Room
 }
 
 // keepBest keeps the endpoint whose node expects a slot soonest, one of the own
@@ -210,6 +210,9 @@
 	switch f.Reason {
 	case qhdecision.Busy, qhdecision.Late:
 		endpoint.Observed.Refusals.Add(1)
+		if endpoint.Zone != c.proxy.Zone {
+			qhbalance.Refuse(endpoint, time.Now())
+		}
 	case qhdecision.Leaving, qhdecision.NoTarget, qhdecision.GraceOver:
 		endpoint.Observed.Refusals.Add(1)
 		qhbalance.Leave(endpoint, time.Now())
