qhproxy: Leave nothing of an earlier attempt in the headers between nodes

Cause: the last door that is asked got the patience of the first attempt, since an unset value did not replace it.

--- a/qhproxy/call_test.go
+++ b/qhproxy/call_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"testing"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -13,6 +14,7 @@
 
 	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhguard"
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhid"
 )
@@ -98,3 +100,15 @@
 		Eventually(failures).WithTimeout(20 * time.Second).Should(BeNumerically(">", 0))
 	}, Entry("", qhconfig.RepeatNever))
 })
+
+func TestAskSurvivesTheWayAndLeavesNothingBehind(t *testing.T) {
+	g := NewWithT(t)
+	header := http.Header{}
+	setAsk(header, qhguard.Ask{Priority: 2, Due: time.Now().Add(time.Second), Patience: 40 * time.Millisecond})
+	read := askOf(header)
+	g.Expect(read.Priority).To(Equal(2))
+	g.Expect(read.Patience).To(Equal(40 * time.Millisecond))
+	g.Expect(time.Until(read.Due)).To(BeNumerically("~", time.Second, 200*time.Millisecond))
+	setAsk(header, qhguard.Ask{})
+	g.Expect(header).To(BeEmpty())
+}
--- a/qhproxy/nodes.go
+++ b/qhproxy/nodes.go
@@ -93,8 +93,11 @@
 	return ask
 }
 
-// setAsk writes what askOf reads.
+// setAsk writes what askOf reads, in place of what an earlier attempt wrote.
 func setAsk(header http.Header, ask qhguard.Ask) {
+	delete(header, qhheader.NodePriority)
+	delete(header, qhheader.NodeDue)
+	delete(header, qhheader.NodePatience)
 	if ask.Priority != 0 {
 		header.Set(qhheader.NodePriority, strconv.Itoa(ask.Priority))
 	}
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -256,8 +256,7 @@
 
 // ask returns what the call asks of a target.
 func (c *call) ask(patience time.Duration) qhguard.Ask {
-	ask := qhguard.Ask{Route: c.route.Name, Priority: c.route.Priority, Due: c.due, Patience: patience}
-	return ask
+	return qhguard.Ask{Route: c.route.Name, Priority: c.route.Priority, Due: c.due, Patience: patience}
 }
 
 // toNode sends the call to the node of the endpoint.
--- a/qhretry/budget_test.go
+++ b/qhretry/budget_test.go
@@ -29,3 +29,27 @@
 		}
 	})
 }
+
+// TestSharedBudgetsStayWithinTheBound draws calls and repeats at all nodes and
+// checks the bound of all together.
+func TestSharedBudgetsStayWithinTheBound(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		const ratio, slack = 0.2, 60.0
+		nodes := rapid.IntRange(1, 100).Draw(r, "nodes")
+		budgets := make([]*Budget, nodes)
+		for i := range budgets {
+			budgets[i] = NewShared(ratio, slack, func() int { return nodes }).Of("booking")
+		}
+		firsts, repeats := 0, 0
+		for _, node := range rapid.SliceOfN(rapid.IntRange(0, nodes-1), 0, 2000).Draw(r, "calls") {
+			budgets[node].Deposit()
+			firsts++
+			for budgets[node].Withdraw() {
+				repeats++
+			}
+		}
+		if float64(repeats) > ratio*float64(firsts)+slack {
+			r.Fatalf("%d repeats of %d calls at %d nodes", repeats, firsts, nodes)
+		}
+	})
+}
