--- a/qhfeed/pause.go
+++ b/qhfeed/pause.go
@@ -16,8 +16,8 @@
 func (p *pause) reset() { p.mean = firstPause }
 
 // wait waits from half to one and a half times the mean.
-func (p *pause) wait(ctx context.Context) bool {
+func (p *pause) wait(ctx context.Context) {
 	mean := p.mean
 	p.mean = min(2*p.mean, lastPause)
-	return qhgroup.Sleep(ctx, mean/2+rand.N(mean))
+	qhgroup.Sleep(ctx, mean/2+rand.N(mean))
 }
--- a/qhproxy/conn.go
+++ b/qhproxy/conn.go
@@ -83,7 +83,7 @@
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
-	return c.Conn.Close()
+	return c.Close()
 }
 
 // Read hands out what was read ahead, and reads on after it.
