--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -301,8 +301,8 @@
 }
 
 // hintPause is the time in which a watch should have told of a version that
-// another node has.
-const hintPause = 150 * time.Millisecond
+// another node has: the pause between two watches and a call to the store.
+const hintPause = 2 * configPause
 
 // Heard is told of a version that another node has. Where the own watch has not
 // told of it soon after, the node is asked for it and the watches are doubted.
