--- /dev/null
+++ b/qhplatform/follow_test.go
@@ -0,0 +1,62 @@
+package qhplatform_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhplatform"
+)
+
+var _ = Describe("following a prefix", func() {
+	ctx := context.Background()
+	memory := func() (*qhplatform.Memory, qhplatform.Store) {
+		m := qhplatform.NewMemory(qhplatform.MemoryOptions{Watch: 200 * time.Millisecond})
+		return m, m.Store()
+	}
+	overHTTP := func() (*qhplatform.Memory, qhplatform.Store) {
+		m, _ := memory()
+		server := httptest.NewServer(qhplatform.NewHandler(m))
+		store, cleanUp := qhplatform.NewHTTP(qhplatform.HTTPOptions{Base: server.URL})
+		DeferCleanup(func() {
+			cleanUp()
+			server.CloseClientConnections()
+			server.Close()
+		})
+		return m, store
+	}
+
+	DescribeTable("brings changes in their order from a listing on", func(connect func() (*qhplatform.Memory, qhplatform.Store)) {
+		m, store := connect()
+		first, err := store.Create(ctx, "k/a", []byte("1"))
+		Expect(err).NotTo(HaveOccurred())
+		listing, err := store.ListAt(ctx, "k/")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(listing.Objects).To(HaveLen(1))
+		Expect(listing.At).To(BeNumerically(">=", first))
+
+		changes, err := store.Follow(ctx, "k/", listing.At, 20*time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changes.Objects).To(BeEmpty())
+
+		_, err = store.Create(ctx, "other/b", []byte("2"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = store.Create(ctx, "k/b", []byte("3"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.Delete(ctx, "k/a", first)).To(Succeed())
+		changes, err = store.Follow(ctx, "k/", listing.At, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changes.Objects).To(HaveLen(2))
+		Expect(changes.Objects[0].Key).To(BeEquivalentTo("k/b"))
+		Expect(changes.Objects[1].Key).To(BeEquivalentTo("k/a"))
+		Expect(changes.Objects[1].Value).To(BeEmpty())
+
+		m.Compact()
+		_, err = store.Follow(ctx, "k/", listing.At, time.Second)
+		Expect(err).To(beKind(qherr.Conflict))
+	}, Entry("in memory", memory), Entry("over HTTP", overHTTP))
+})
