qhfeed: Follow the store through a few readers of a large zone

Cause: each node watched the store by itself.

Change: in each zone the four nodes with the fastest links (one in sixteen of a large one) watch the store. The others hear through one of them, as the difference from what they have, and go to another or to the store where it fails, is cut off, or has not heard for long. Only nodes that read the store answer, so none follow each other round. A node rests after a change by what taking it cost. A reader that finds a newer version in a listing tells the others, which watch anew at once.

--- a/qhfeed/exchange.go
+++ b/qhfeed/exchange.go
@@ -31,6 +31,8 @@
 	maxExchange qhid.Bytes = 8 << 20
 	// peerIdle is how long a connection to a peer is kept.
 	peerIdle = 5 * time.Second
+	// peerConns is how many connections to a peer are kept: one for each follower.
+	peerConns = 2
 )
 
 // told is what two nodes tell each other.
@@ -46,7 +48,7 @@
 
 func newPeerClient() *http.Client {
 	dialer := &net.Dialer{Timeout: exchangeTimeout}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: peerIdle}}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: peerIdle, MaxIdleConnsPerHost: peerConns}}
 }
 
 // Handler answers the exchanges of other nodes.
@@ -62,6 +64,8 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(f.answer(heard)) // a peer that is gone needs no answer
 	})
+	mux.HandleFunc("POST "+followPath, f.serveFollower)
+	mux.HandleFunc("POST "+newsPath, f.serveNews)
 	return mux
 }
 
--- a/qhmember/entry.go
+++ b/qhmember/entry.go
@@ -31,6 +31,8 @@
 	Incarnation qhid.Incarnation `json:"inc"`
 	Sequence    qhid.Sequence    `json:"seq"`
 	State       State            `json:"state"`
+	// Link is how fast the node's VM is connected; 0 where it isn't known.
+	Link qhid.Megabits `json:"link,omitempty"`
 	// Targets are ordered by id.
 	Targets []Target `json:"targets,omitempty"`
 }
--- a/qhnode/qhserve/node.go
+++ b/qhnode/qhserve/node.go
@@ -204,6 +204,7 @@
 		Incarnation: qhid.Incarnation(n.started.UnixMilli()),
 		Sequence:    1,
 		State:       qhmember.Up,
+		Link:        n.Settings.Bounds.Link,
 	}
 }
 
--- a/qhnode/qhserve/source.go
+++ b/qhnode/qhserve/source.go
@@ -87,6 +87,7 @@
 		Holder:  n.holder,
 		Members: n.members,
 		Seeds:   func() []qhid.Address { return n.latest.Load().Seeds },
+		InForce: time.Duration(n.Settings.Bounds.Config),
 		Log:     n.Log,
 		Metrics: n.metrics,
 	})
--- a/qhsetting/node.go
+++ b/qhsetting/node.go
@@ -82,6 +82,8 @@
 	Slack  float64           `json:"slack,omitempty"`
 	// Memory is the most that the process may use, in bytes.
 	Memory qhid.Bytes `json:"memory,omitempty"`
+	// Link is how fast the VM is connected, in Mbit/s.
+	Link qhid.Megabits `json:"link,omitempty"`
 }
 
 // Announce is where other VMs reach listeners, such as behind an address
--- /dev/null
+++ b/qhwire/delta_test.go
@@ -0,0 +1,64 @@
+package qhwire
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"quetzalhaven.dev/qherr"
+)
+
+// largeValue is a value with so many random words.
+func largeValue(words int) []byte {
+	random := rand.New(rand.NewPCG(1, 2))
+	var value bytes.Buffer
+	for range words {
+		fmt.Fprintf(&value, `{"name":"r-%x","host":"%x.example"},`, random.Uint64(), random.Uint64())
+	}
+	return value.Bytes()
+}
+
+func TestDeltaOfALargeValueIsSmall(t *testing.T) {
+	g := NewWithT(t)
+	before := largeValue(5000)
+	after := bytes.Clone(before)
+	copy(after[10:], "changed")
+	copy(after[len(after)-100:], "also changed")
+	packed, err := PackAgainst(after, before)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(packed)).To(BeNumerically("<", len(after)/50))
+	g.Expect(UnpackAgainst(packed, before)).To(Equal(after))
+	whole, err := PackAgainst(after, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(UnpackAgainst(whole, nil)).To(Equal(after))
+}
+
+func TestDeltaIsRefusedWithoutWhatItIsAgainst(t *testing.T) {
+	g := NewWithT(t)
+	before := largeValue(500)
+	packed, err := PackAgainst(append(bytes.Clone(before), "more"...), before)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = UnpackAgainst(packed, nil)
+	g.Expect(qherr.Is(err, qherr.BadInput)).To(BeTrue())
+	_, err = UnpackAgainst([]byte("no packed value"), before)
+	g.Expect(qherr.Is(err, qherr.BadInput)).To(BeTrue())
+}
+
+func TestDeltaOfAnyValues(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		data := rapid.SliceOfN(rapid.Byte(), 0, 3000).Draw(r, "data")
+		against := rapid.SliceOfN(rapid.Byte(), 0, 3000).Draw(r, "against")
+		packed, err := PackAgainst(data, against)
+		if err != nil {
+			r.Fatal(err)
+		}
+		got, err := UnpackAgainst(packed, against)
+		if err != nil || !bytes.Equal(got, data) {
+			r.Fatalf("%d bytes came back, %v", len(got), err)
+		}
+	})
+}
