qhfeed: Let fast links read the store, and end no watch whose answer comes

Ruled out: the rest between watches, at most 0.75 s there; the reader's own failure (no reader was passed over in that zone).

Change: only nodes with at least half of the zone's fastest link read the store. Where a zone's readers fail, one of another zone is asked, whose difference is smaller than what the store sends. A watch whose answer has begun to come is not doubted. The holder digests what a feed brings by what changed, and packing uses the quickest level.

The test of a doubt fails where the answer that comes is ended.

--- a/qhfeed/exchange.go
+++ b/qhfeed/exchange.go
@@ -97,7 +97,7 @@
 	}
 	config, err := qhwire.Unpack[qhconfig.Config](heard.Config)
 	if err == nil {
-		_, err = f.Holder.Offer(heard.Version, config, config.Digest())
+		_, err = f.Holder.Adopt(heard.Version, config)
 	}
 	if err != nil {
 		f.Log.Error("configuration of a peer refused", zap.Uint64("version", uint64(heard.Version)), zap.Error(err))
--- a/qhfeed/follower.go
+++ b/qhfeed/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -174,16 +175,20 @@
 var errDoubted = errors.New("the watch may have missed a change; watch again") //nolint:gochecknoglobals // a sentinel
 
 // watch waits for changes, for a random time around what the upstream asks for,
-// or until it is doubted.
+// or until it is doubted. An answer that has begun to come is not doubted.
 func (fo *follower) watch(ctx context.Context, from upstream) (qhplatform.Changes, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	var coming atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { coming.Store(true) }})
 	stop := make(chan struct{})
 	defer close(stop)
 	fo.feed.group.Go(func(context.Context) {
 		select {
 		case <-fo.doubted:
-			cancel(errDoubted)
+			if !coming.Load() {
+				cancel(errDoubted)
+			}
 		case <-stop:
 		}
 	})
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -150,7 +150,7 @@
 func (f *Feed) offer(value []byte, from string) {
 	version, config, err := f.Decode(value)
 	if err == nil {
-		_, err = f.Holder.Offer(version, config, config.Digest())
+		_, err = f.Holder.Adopt(version, config)
 	}
 	if err != nil {
 		f.Log.Error("configuration refused", zap.String("from", from), zap.Uint64("version", uint64(version)), zap.Error(err))
--- a/qhfeed/reader.go
+++ b/qhfeed/reader.go
@@ -17,11 +17,14 @@
 )
 
 const (
-	// zoneReaders is how many nodes of an availability zone watch the store at
-	// least. The others follow it through them.
+	// zoneReaders is how many nodes of an availability zone with equal links watch
+	// the store. The others follow it through them.
 	zoneReaders = 4
 	// maxFollowers bounds the nodes that follow one reader, on average.
 	maxFollowers = 16
+	// slowShare is the part of the fastest link of a zone below which a node reads
+	// only where no other does: the store sends a change whole.
+	slowShare = 0.5
 	// passSpan is how long a reader that failed is passed over.
 	passSpan = 3 * time.Second
 )
@@ -38,7 +41,11 @@
 	slices.SortFunc(up, func(a, b qhmember.Entry) int {
 		return cmp.Or(cmp.Compare(b.Link, a.Link), cmp.Compare(a.Node, b.Node))
 	})
-	return up[:min(len(up), readerCount(len(up)))]
+	last := min(len(up), readerCount(len(up)))
+	for last > 1 && float64(up[last-1].Link) < slowShare*float64(up[0].Link) {
+		last--
+	}
+	return up[:last]
 }
 
 func readerCount(nodes int) int {
@@ -67,14 +74,31 @@
 // reader returns the node to follow the store through, or false where this node
 // watches the store itself. Followers are spread over the readers, so that no
 // reader's loss holds up a whole zone.
+//
+// Where the readers of the own zone fail, one of another zone is asked, which
+// sends less than the store.
 func (f *Feed) reader() (qhmember.Entry, bool) {
-	self := f.Members.Self()
+	self, entries := f.Members.Self(), f.Members.View().Entries
+	own := readersOf(entries, self.Zone)
+	if slices.ContainsFunc(own, func(reader qhmember.Entry) bool { return reader.Node == self.Node }) {
+		return qhmember.Entry{}, false
+	}
+	if chosen, ok := f.chooseReader(self, own); ok {
+		return chosen, true
+	}
+	var others []qhmember.Entry
+	for _, zone := range zonesOf(entries) {
+		if zone != self.Zone {
+			others = append(others, readersOf(entries, zone)...)
+		}
+	}
+	return f.chooseReader(self, others)
+}
+
+func (f *Feed) chooseReader(self qhmember.Entry, readers []qhmember.Entry) (qhmember.Entry, bool) {
 	var chosen qhmember.Entry
 	var least uint64
-	for _, reader := range readersOf(f.Members.View().Entries, self.Zone) {
-		if reader.Node == self.Node {
-			return qhmember.Entry{}, false
-		}
+	for _, reader := range readers {
 		if f.isPassedOver(reader.Node) {
 			continue
 		}
--- a/qhfeed/relay_test.go
+++ b/qhfeed/relay_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -191,6 +192,38 @@
 	})
 })
 
+var _ = Describe("a doubt", func() {
+	DescribeTable("ends a watch that waits, not one whose answer comes", func(comes bool) {
+		memory := qhplatform.NewMemory(qhplatform.MemoryOptions{})
+		store := memory.Store()
+		_, err := store.Create(context.Background(), configKey, encodeWritten(1))
+		Expect(err).NotTo(HaveOccurred())
+		var ended atomic.Int64
+		waiting := make(chan struct{}, 8)
+		store.Follow = func(ctx context.Context, _ qhplatform.Key, after qhplatform.Revision, _ time.Duration) (qhplatform.Changes, error) {
+			if trace := httptrace.ContextClientTrace(ctx); trace != nil && comes {
+				trace.GotFirstResponseByte()
+			}
+			waiting <- struct{}{}
+			select {
+			case <-ctx.Done():
+				ended.Add(1)
+			case <-time.After(time.Second):
+			}
+			return qhplatform.Changes{At: after}, ctx.Err()
+		}
+		node := join("a", store)
+		Eventually(waiting).WithTimeout(patience).Should(Receive())
+		Eventually(waiting).WithTimeout(patience).Should(Receive())
+		node.feed.doubt(nil)
+		if comes {
+			Consistently(ended.Load).WithTimeout(500 * time.Millisecond).Should(BeZero())
+			return
+		}
+		Eventually(ended.Load).WithTimeout(500 * time.Millisecond).Should(BeEquivalentTo(2))
+	}, Entry("waiting", false), Entry("coming", true))
+})
+
 var _ = Describe("the readers of a zone", func() {
 	entry := func(node qhid.Node, zone qhid.Zone, link qhid.Megabits, state qhmember.State) qhmember.Entry {
 		return qhmember.Entry{Node: node, Zone: zone, Link: link, State: state}
@@ -200,11 +233,15 @@
 			entry("a", "z", 5, qhmember.Up), entry("b", "z", 5, qhmember.Up), entry("c", "z", 100, qhmember.Up),
 			entry("d", "z", 100, qhmember.Leaving), entry("e", "y", 100, qhmember.Up), entry("f", "z", 5, qhmember.Up), entry("g", "z", 5, qhmember.Up),
 		}
-		var nodes []qhid.Node
-		for _, reader := range readersOf(entries, "z") {
-			nodes = append(nodes, reader.Node)
+		nodes := func() (list []qhid.Node) {
+			for _, reader := range readersOf(entries, "z") {
+				list = append(list, reader.Node)
+			}
+			return list
 		}
-		Expect(nodes).To(Equal([]qhid.Node{"c", "a", "b", "f"}))
+		Expect(nodes()).To(Equal([]qhid.Node{"c"})) // the others have slow links
+		entries[2].Link = 8
+		Expect(nodes()).To(Equal([]qhid.Node{"c", "a", "b", "f"}))
 		Expect(allReaders(entries)).To(Equal(5))
 		Expect(readerCount(75)).To(Equal(5))
 	})
--- a/qhhold/holder.go
+++ b/qhhold/holder.go
@@ -100,6 +100,18 @@
 	return h.admit(version, config, digest, digester)
 }
 
+// Adopt is Offer for a version whose digest nobody told.
+func (h *Holder) Adopt(version qhid.Version, config qhconfig.Config) (bool, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	digester := h.digester
+	digest := digester.Digest(config)
+	if newer, err := h.newer(version, digest); !newer {
+		return false, err
+	}
+	return h.admit(version, config, digest, digester)
+}
+
 // OfferDiff puts the result of a diff in force. It returns what Offer returns,
 // and an error of kind Conflict where the diff does not apply to the version
 // that is held, so that the whole version has to be asked for.
--- a/qhhold/holder_test.go
+++ b/qhhold/holder_test.go
@@ -190,6 +190,17 @@
 		Expect(holder.Current().Config.Services).To(HaveLen(3))
 	})
 
+	It("adopts a version whose digest nobody told, with its digest, and never goes back", func() {
+		holder := qhhold.New(qhhold.Options{Node: "a"})
+		config := qhconfig.Config{Services: []qhconfig.Service{{Name: "booking", Slots: 3}}}
+		Expect(holder.Adopt(4, config)).To(BeTrue())
+		Expect(holder.Current().Digest).To(Equal(config.Digest()))
+		Expect(holder.Adopt(3, qhconfig.Config{})).To(BeFalse())
+		_, err := holder.Adopt(4, qhconfig.Config{})
+		Expect(qherr.Is(err, qherr.Refused)).To(BeTrue())
+		Expect(holder.Version()).To(BeEquivalentTo(4))
+	})
+
 	It("asks for the whole where a diff has another base", func() {
 		diff := qhconfig.Compare(qhsample.Sized(3), qhsample.Sized(4))
 		diff.Base, diff.Next = 3, 5
--- a/qhwire/delta.go
+++ b/qhwire/delta.go
@@ -11,7 +11,7 @@
 
 // PackAgainst compresses data to its difference from against, which may be nil.
 func PackAgainst(data, against []byte) (Packed, error) {
-	options := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true)}
+	options := []zstd.EOption{zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true)}
 	if len(against) > 0 {
 		options = append(options, zstd.WithEncoderDictRaw(deltaID, against))
 	}
