qhproxy: Run requests that were sent behind others beside them

Cause: callers send further idempotent requests before the first is answered. The server of net/http takes one request of a connection at a time, so each waited for those in front of it.

Change: the connection tells requests apart as they come in and hands them to the server one by one. A bodiless GET or HEAD on a route that may be repeated begins while such a call in front of it is under way; its answer waits for its turn. It ends with its connection. Small answers of such routes are read whole before they are given on, so that one that breaks off is a 502 and costs those behind it nothing.

The tests of requests side by side and of their end with the connection fail where none begins early; that of the server's look ahead fails where nobody reads on.

--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -62,6 +62,14 @@
 
 // serveCaller takes a call of a caller and finds it a target.
 func (p *Proxy) serveCaller(w http.ResponseWriter, r *http.Request) {
+	if conn := connOf(r); conn != nil {
+		e := conn.come(r)
+		defer conn.gone()
+		if e != nil {
+			p.serveEarly(w, e, conn)
+			return
+		}
+	}
 	p.counts.calls.Inc()
 	start := time.Now()
 	c := &call{proxy: p, in: r, id: p.requestID(r)}
@@ -87,23 +95,31 @@
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
 	defer cancel()
 	if conn := connOf(r); conn != nil && c.body.stream == nil {
-		defer conn.begin(cancel)()
+		defer conn.begin(cancel, c.mayRunBeside())()
 	}
 	a, f := c.sendKeyed(ctx)
+	if f == nil && c.mayRunBeside() {
+		f = a.hold()
+	}
+	c.finish(w, a, f, start)
+}
+
+// finish gives on what a call came to.
+func (c *call) finish(w http.ResponseWriter, a *answer, f *failure, start time.Time) {
 	if f != nil {
-		p.refuse(w, f, c.decision())
+		c.proxy.refuse(w, f, c.decision())
 		return
 	}
-	p.counts.add(time.Since(start) - a.took)
+	c.proxy.counts.add(time.Since(start) - a.took)
 	answered := c.decision()
 	answered.Target, answered.Node = c.endpoint.ID, c.endpoint.Node
 	answered.Kind, answered.Status, answered.Took = qhdecision.Answered, a.StatusCode, time.Since(start)
-	p.decide(answered)
-	p.pass(w, a, c.decision())
+	c.proxy.decide(answered)
+	c.proxy.pass(w, a, c.decision())
 }
 
 // prepare checks the call, finds its route and service, and reads a small body.
-// It returns the call's deadline.
+// It returns the call's deadline. The writer is nil for a call that is begun early.
 func (c *call) prepare(w http.ResponseWriter) (time.Time, *failure) {
 	start := time.Now()
 	if f := c.check(); f != nil {
@@ -118,6 +134,10 @@
 	}
 	c.due = c.proxy.dueOf(c.in, c.route, start)
 	deadline := start.Add(left)
+	if w == nil { // a call that is begun early has no body
+		c.body = &requestBody{}
+		return deadline, nil
+	}
 	return deadline, c.readBody(w, deadline)
 }
 
--- a/qhproxy/conn.go
+++ b/qhproxy/conn.go
@@ -29,8 +29,8 @@
 	group *qhgroup.Group
 
 	mu sync.Mutex
-	// ahead was read and not handed out yet.
-	ahead []byte
+	// ahead was read and not handed out yet; store is its memory, used again.
+	ahead, store []byte
 	// err came after ahead; it is never a timeout.
 	err error
 	// reading is closed when the read under way ends; nil for none.
@@ -41,12 +41,27 @@
 	partial []byte
 	// ambiguous is set once a head had two different ways to say its length.
 	ambiguous bool
+	// units are the requests found in ahead.
+	units units
+	// early are the calls that were begun before the server came to them, in the
+	// order of their requests.
+	early []*early
+	// start begins a call early, or returns nil; it may be nil.
+	start func(head []byte) *early
+	// beside is set while the call under way may run beside those behind it.
+	beside bool
+	// served counts the requests that the server came to, and serving is set while
+	// it is at one.
+	served  int
+	serving bool
 }
 
 // callerListener accepts connections as callerConn.
 type callerListener struct {
 	net.Listener
 	group *qhgroup.Group
+	// proxy may be nil; then no call is begun early.
+	proxy *Proxy
 }
 
 // Accept returns the next connection.
@@ -55,12 +70,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &callerConn{Conn: conn, group: l.group}, nil
+	c := &callerConn{Conn: conn, group: l.group}
+	if l.proxy != nil {
+		c.start = func(head []byte) *early { return l.proxy.startEarly(c, head) }
+	}
+	return c, nil
 }
 
 // CallersListener returns the listener that CallersServer serves on.
 func (p *Proxy) CallersListener(listener net.Listener) net.Listener {
-	return &callerListener{Listener: listener, group: p.group}
+	return &callerListener{Listener: listener, group: p.group, proxy: p}
 }
 
 // connKey is the context key of a request's callerConn.
@@ -86,13 +105,16 @@
 	return c.Close()
 }
 
-// Read hands out what was read ahead, and reads on after it.
+// Read hands out what was read ahead, at most to the end of one request, and
+// reads on after it.
 func (c *callerConn) Read(into []byte) (int, error) {
 	for {
 		c.mu.Lock()
-		if len(c.ahead) > 0 {
-			n := copy(into, c.ahead)
+		if n := c.allowed(); n > 0 {
+			n = copy(into, c.ahead[:n])
 			c.ahead = c.ahead[n:]
+			c.units.handOut(n)
+			c.readOn()
 			c.mu.Unlock()
 			return n, nil
 		}
@@ -101,7 +123,10 @@
 			return 0, c.err
 		}
 		if c.reading == nil {
-			return c.read(into)
+			if err := c.read(); err != nil {
+				return 0, err
+			}
+			continue
 		}
 		reading := c.reading
 		c.mu.Unlock()
@@ -109,21 +134,71 @@
 	}
 }
 
-// read reads from the network. The lock is held, and given back.
-func (c *callerConn) read(into []byte) (int, error) {
+// allowed returns how much may be handed out. While the server is at one request
+// it gets nothing of the next, which may be begun early. The lock is held.
+func (c *callerConn) allowed() int {
+	if c.serving && c.units.between() && c.err == nil && len(c.ahead) < maxAhead {
+		return 0
+	}
+	return c.units.allowed(c.ahead, c.err != nil)
+}
+
+// readBuffers keeps buffers of readSize.
+var readBuffers = sync.Pool{New: func() any { return new([readSize]byte) }} //nolint:gochecknoglobals // a pool
+
+// read reads from the network into ahead. The lock is held, and given back.
+func (c *callerConn) read() error {
 	reading := make(chan struct{})
 	c.reading = reading
 	c.mu.Unlock()
-	n, err := c.Conn.Read(into)
+	buffer := readBuffers.Get().(*[readSize]byte)
+	defer readBuffers.Put(buffer)
+	n, err := c.Conn.Read(buffer[:])
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading = nil
 	close(reading)
-	c.look(into[:n])
-	if n > 0 && err == nil && c.cancel != nil {
+	c.take(buffer[:n])
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.fail(err)
+	}
+	if n > 0 {
+		return nil // the error comes with a later read
+	}
+	return err
+}
+
+// take keeps what was read. The lock is held.
+func (c *callerConn) take(read []byte) {
+	if len(c.ahead) == 0 {
+		c.ahead = c.store[:0]
+	}
+	c.ahead = append(c.ahead, read...)
+	if cap(c.ahead) > cap(c.store) && cap(c.ahead) <= 2*readSize {
+		c.store = c.ahead
+	}
+	c.look(read)
+	c.startEarly()
+}
+
+// fail notes that nothing more comes, and ends the calls of the connection. The
+// lock is held.
+func (c *callerConn) fail(err error) {
+	c.err = err
+	if c.cancel != nil {
+		c.cancel()
+	}
+	for _, e := range c.early {
+		e.cancel()
+	}
+}
+
+// readOn has the connection read where the server has begun the next request
+// while a call is under way, since it reads no more then. The lock is held.
+func (c *callerConn) readOn() {
+	if c.cancel != nil && (c.units.opaque || c.units.begun > c.served) {
 		c.group.Go(func(context.Context) { c.readAhead() })
 	}
-	return n, err
 }
 
 // readAhead reads on while the call is under way, and ends it where the caller
@@ -138,19 +213,16 @@
 		reading := make(chan struct{})
 		c.reading = reading
 		c.mu.Unlock()
-		buffer := make([]byte, readSize)
-		n, err := c.Conn.Read(buffer)
+		buffer := readBuffers.Get().(*[readSize]byte)
+		n, err := c.Conn.Read(buffer[:])
 		c.mu.Lock()
 		c.reading = nil
-		c.ahead = append(c.ahead, buffer[:n]...)
-		c.look(buffer[:n])
+		c.take(buffer[:n])
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.err = err
-			if c.cancel != nil {
-				c.cancel()
-			}
+			c.fail(err)
 		}
 		c.mu.Unlock()
+		readBuffers.Put(buffer)
 		close(reading)
 		if err != nil {
 			return
@@ -159,18 +231,21 @@
 }
 
 // begin notes that a call is under way, which cancel ends, until the function
-// that it returns is called.
-func (c *callerConn) begin(cancel context.CancelFunc) func() {
+// that it returns is called. beside is set where the calls behind it may run
+// beside it.
+func (c *callerConn) begin(cancel context.CancelFunc, beside bool) func() {
 	c.mu.Lock()
-	c.cancel = cancel
+	c.cancel, c.beside = cancel, beside
 	if c.err != nil {
 		cancel()
 	}
+	c.startEarly()
+	c.readOn()
 	c.mu.Unlock()
 	return func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.cancel = nil
+		c.cancel, c.beside = nil, false
 	}
 }
 
--- /dev/null
+++ b/qhproxy/early_test.go
@@ -0,0 +1,218 @@
+package qhproxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qhgroup"
+)
+
+// workTime is how long the tests' targets take.
+const workTime = 400 * time.Millisecond
+
+var _ = Describe("requests that are sent behind others", func() {
+	var f *fleet
+	var n *node
+	var conn net.Conn
+	var reader *bufio.Reader
+	get := func(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n" }
+	send := func(text string) {
+		_, err := io.WriteString(conn, text)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	answer := func() (*http.Response, string) {
+		resp, err := http.ReadResponse(reader, nil)
+		Expect(err).NotTo(HaveOccurred())
+		body, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		return resp, string(body)
+	}
+	BeforeEach(func() {
+		reads, writes := route("reads", "/reads", "booking"), route("writes", "/writes", "booking")
+		reads.Repeat = qhconfig.RepeatSafe
+		f = newFleet(GinkgoTB(), reads, writes)
+		n = f.node("a", "kigali-a")
+		var err error
+		conn, err = net.Dial("tcp", n.callers.Listener.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = conn.Close() })
+		reader = bufio.NewReader(conn)
+	})
+	echo := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(workTime)
+		_, _ = io.WriteString(w, r.URL.Path)
+	}
+
+	DescribeTable("run beside them and are answered in order", func(parts ...string) {
+		f.target("t1", "booking", "a", 8, echo)
+		start := time.Now()
+		for _, part := range parts {
+			send(part)
+			time.Sleep(10 * time.Millisecond)
+		}
+		for i := range 4 {
+			_, body := answer()
+			Expect(body).To(Equal(fmt.Sprint("/reads/", i)))
+		}
+		Expect(time.Since(start)).To(BeNumerically("<", 2*workTime))
+	},
+		Entry("sent at once", get("/reads/0")+get("/reads/1")+get("/reads/2")+get("/reads/3")),
+		Entry("sent one by one", get("/reads/0"), get("/reads/1"), get("/reads/2"), get("/reads/3")),
+		Entry("sent in pieces", get("/reads/0"), get("/reads/1")+"GET /rea", "ds/2 HTTP/1.1\r\nHost: h\r\n", "\r\n"+get("/reads/3")),
+	)
+
+	It("wait for their turn behind one that may run once", func() {
+		var running, most atomic.Int64
+		f.target("t1", "booking", "a", 8, func(w http.ResponseWriter, r *http.Request) {
+			most.Store(max(most.Load(), running.Add(1)))
+			defer running.Add(-1)
+			echo(w, r)
+		})
+		send("POST /writes/0 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab" + get("/reads/1") + get("/writes/2") + get("/reads/3"))
+		for _, want := range []string{"/writes/0", "/reads/1", "/writes/2", "/reads/3"} {
+			_, body := answer()
+			Expect(body).To(Equal(want))
+		}
+		Expect(most.Load()).To(BeEquivalentTo(1))
+	})
+
+	It("end where the caller leaves", func() {
+		var began, cancelled atomic.Int64
+		f.target("t1", "booking", "a", 8, func(_ http.ResponseWriter, r *http.Request) {
+			began.Add(1)
+			<-r.Context().Done()
+			cancelled.Add(1)
+		})
+		send(get("/reads/0") + get("/reads/1") + get("/reads/2"))
+		Eventually(began.Load).WithTimeout(20 * time.Second).Should(BeEquivalentTo(3))
+		Expect(conn.Close()).To(Succeed())
+		Eventually(cancelled.Load).WithTimeout(20 * time.Second).Should(BeEquivalentTo(3))
+		Eventually(n.proxy.callers.inside.Load).WithTimeout(20 * time.Second).Should(BeZero())
+	})
+
+	It("are answered although an answer in front of them broke off", func() {
+		f.target("t1", "booking", "a", 8, func(w http.ResponseWriter, r *http.Request) {
+			if !strings.HasSuffix(r.URL.Path, "/0") {
+				echo(w, r)
+				return
+			}
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "a part")
+			panic(http.ErrAbortHandler)
+		})
+		send(get("/reads/0") + get("/reads/1"))
+		resp, _ := answer()
+		Expect(resp.StatusCode).To(Equal(http.StatusBadGateway))
+		_, body := answer()
+		Expect(body).To(Equal("/reads/1"))
+	})
+
+	It("are refused in their turn where nothing takes them", func() {
+		f.target("t1", "booking", "a", 8, echo)
+		send(get("/reads/0") + get("/nowhere") + get("/reads/2"))
+		resp, _ := answer()
+		Expect(resp.StatusCode).To(Equal(http.StatusOK))
+		resp, _ = answer()
+		Expect(resp.StatusCode).To(Equal(http.StatusNotFound))
+		_, body := answer()
+		Expect(body).To(Equal("/reads/2"))
+	})
+})
+
+// TestCallerIsNoticedToLeaveWhereTheServerBeganTheNextRequest plays the server's
+// look for more that comes before the handler.
+func TestCallerIsNoticedToLeaveWhereTheServerBeganTheNextRequest(t *testing.T) {
+	g := NewWithT(t)
+	group, stop := qhgroup.New(context.Background())
+	defer stop()
+	near, far := net.Pipe()
+	c := &callerConn{Conn: near, group: group}
+	const get = "GET / HTTP/1.1\r\n\r\n"
+	go func() { _, _ = io.WriteString(far, get+get) }()
+	head := make([]byte, 100)
+	g.Expect(c.Read(head)).To(Equal(len(get)))
+	g.Expect(c.Read(head[:1])).To(Equal(1))
+	g.Expect(c.come(httptest.NewRequest(http.MethodGet, "/", nil))).To(BeNil())
+	cancelled := make(chan struct{})
+	defer c.begin(func() { close(cancelled) }, false)()
+	g.Expect(far.Close()).To(Succeed())
+	g.Eventually(cancelled).WithTimeout(20 * time.Second).Should(BeClosed())
+}
+
+// TestUnitsHandOutWhatCame sends requests in pieces of any size and checks that
+// all bytes are handed out, each request by itself.
+func TestUnitsHandOutWhatCame(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var sent strings.Builder
+		var bounds []int
+		for range rapid.IntRange(1, 6).Draw(r, "requests") {
+			body := rapid.IntRange(-1, 40).Draw(r, "body")
+			if body < 0 {
+				sent.WriteString("GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			} else {
+				fmt.Fprintf(&sent, "POST / HTTP/1.1\r\ncontent-length: %d\r\n\r\n%s", body, strings.Repeat("\r\n", body)[:body])
+			}
+			bounds = append(bounds, sent.Len())
+		}
+		data := []byte(sent.String())
+		var u units
+		var ahead []byte
+		out, heads := 0, 0
+		for len(data) > 0 || len(ahead) > 0 {
+			if n := min(len(data), rapid.IntRange(0, 30).Draw(r, "piece")); n > 0 {
+				ahead, data = append(ahead, data[:n]...), data[n:]
+			}
+			if head, number := u.next(ahead); head != nil {
+				if !strings.HasPrefix(string(head), "GET") && !strings.Contains(string(head), ": 0\r\n") || number > len(bounds) {
+					r.Fatalf("request %d is %q", number, head)
+				}
+				u.look(head)
+				heads++
+			}
+			n := min(u.allowed(ahead, len(data) == 0), rapid.IntRange(1, 30).Draw(r, "taken"))
+			for _, bound := range bounds {
+				if out < bound && out+n > bound {
+					r.Fatalf("bytes %d to %d are of two requests", out, out+n)
+				}
+			}
+			ahead = ahead[n:]
+			u.handOut(n)
+			out += n
+		}
+		if out != sent.Len() || u.begun != len(bounds) {
+			r.Fatalf("%d of %d bytes, %d of %d requests", out, sent.Len(), u.begun, len(bounds))
+		}
+	})
+}
+
+func TestUnitsLeaveWhatTheyCantFollow(t *testing.T) {
+	for _, text := range []string{
+		"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+		"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: many\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+		"GET / HTTP/1.1\r\nUpgrade: h2c\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+		strings.Repeat("a", maxHead),
+	} {
+		t.Run(text[:min(len(text), 20)], func(t *testing.T) {
+			g := NewWithT(t)
+			var u units
+			g.Expect(u.allowed([]byte(text), false)).To(Equal(len(text)))
+			head, _ := u.next([]byte(text))
+			g.Expect(head).To(BeNil())
+		})
+	}
+}
