qhfeed: Leave time for the store where readers go silent one after another

Ruled out: the store (it answered others), the rest between watches (0.75 s).

Change: a reader holds a watch for 0.15 of the bound and may take 0.15 of it longer, in place of 0.2 and 0.3; where all readers of the own zone were passed over the store is asked, not another zone.

The test of the time that is left fails with the bounds before. That of a follower whose readers all go silent passed with them too, by chance of the waits: it does not tell them apart.

--- a/qhfeed/reader.go
+++ b/qhfeed/reader.go
@@ -74,31 +74,16 @@
 // reader returns the node to follow the store through, or false where this node
 // watches the store itself. Followers are spread over the readers, so that no
 // reader's loss holds up a whole zone.
-//
-// Where the readers of the own zone fail, one of another zone is asked, which
-// sends less than the store.
+// Where all readers of the zone were passed over, the store is the one to answer
+// for certain.
 func (f *Feed) reader() (qhmember.Entry, bool) {
-	self, entries := f.Members.Self(), f.Members.View().Entries
-	own := readersOf(entries, self.Zone)
-	if slices.ContainsFunc(own, func(reader qhmember.Entry) bool { return reader.Node == self.Node }) {
-		return qhmember.Entry{}, false
-	}
-	if chosen, ok := f.chooseReader(self, own); ok {
-		return chosen, true
-	}
-	var others []qhmember.Entry
-	for _, zone := range zonesOf(entries) {
-		if zone != self.Zone {
-			others = append(others, readersOf(entries, zone)...)
-		}
-	}
-	return f.chooseReader(self, others)
-}
-
-func (f *Feed) chooseReader(self qhmember.Entry, readers []qhmember.Entry) (qhmember.Entry, bool) {
+	self := f.Members.Self()
 	var chosen qhmember.Entry
 	var least uint64
-	for _, reader := range readers {
+	for _, reader := range readersOf(f.Members.View().Entries, self.Zone) {
+		if reader.Node == self.Node {
+			return qhmember.Entry{}, false
+		}
 		if f.isPassedOver(reader.Node) {
 			continue
 		}
--- a/qhfeed/relay.go
+++ b/qhfeed/relay.go
@@ -21,11 +21,12 @@
 	// followPath is where a node that watches the store answers those that follow
 	// it through this one.
 	followPath = "/follow"
-	// relayWait is how long a reader holds a watch, in parts of the time until a
-	// configuration is in force everywhere: one that went silent is noticed in time.
-	relayWait = 0.2
-	// relayBound is how long a reader may take to answer beyond that.
-	relayBound = 0.3
+	// relayWait is how long a reader holds a watch on average, and relayBound how
+	// long it may take to answer beyond that, in parts of the time until a
+	// configuration is in force everywhere: where one reader went silent and then
+	// another, time is left to ask the store.
+	relayWait  = 0.15
+	relayBound = 0.15
 	// listBound bounds a listing of a reader.
 	listBound = time.Second
 	// maxRelayWait bounds what a reader is asked to hold.
--- a/qhfeed/relay_test.go
+++ b/qhfeed/relay_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
@@ -279,3 +280,39 @@
 		Expect(against).To(BeZero())
 	})
 })
+
+var _ = Describe("a follower whose readers all go silent", func() {
+	It("has a quarter of the bound left for the store after two of them", func() {
+		const longest = 1.5 // see follower.watch
+		Expect(2 * (longest*relayWait + relayBound)).To(BeNumerically("<=", 0.75))
+	})
+
+	It("has a version in force in time", func() {
+		memory := qhplatform.NewMemory(qhplatform.MemoryOptions{})
+		store := memory.Store()
+		_, err := store.Create(context.Background(), configKey, encodeWritten(1))
+		Expect(err).NotTo(HaveOccurred())
+		f := newFleet(zoneReaders+3, store)
+		follower := f.nodes[zoneReaders]
+		Eventually(follower.feed.config.direct.Load).WithTimeout(patience).Should(BeFalse())
+		// Two readers were passed over lately, the others take connections and say nothing.
+		for _, reader := range f.nodes[:2] {
+			follower.feed.passOver(reader.members.Self().Node, "configuration", errCut)
+		}
+		for i, reader := range f.nodes[2:zoneReaders] {
+			quiet, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(quiet.Close)
+			entry := reader.members.Self()
+			entry.Peers = qhid.Address(quiet.Addr().String())
+			entry.Sequence += 1000
+			Expect(follower.members.Merge([]qhmember.Entry{entry})).To(HaveLen(1), "reader %d", i)
+		}
+		follower.members.Refresh()
+		object, err := store.Get(context.Background(), configKey)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = store.Update(context.Background(), configKey, encodeWritten(2), object.Revision)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(follower.holder.Version).WithTimeout(defaultInForce).Should(BeEquivalentTo(2))
+	})
+})
