qhbalance: Leave what can't be connected to alone at once

Ruled out: one rule for all failures, since a call that broke off may be the call's own fault while a connection that was not made is not.

Change: an endpoint for which no connection was made is ejected at the first call, for 1 s and at most 4 s, within the same cap of half the service.

The new test has nothing to fail on before (the method did not exist).

--- a/qhbalance/balance_test.go
+++ b/qhbalance/balance_test.go
@@ -203,6 +203,22 @@
 	g.Expect(bad.Observed.Failures.Load()).To(BeZero())
 }
 
+func TestUnreachableEndpointsAreEjectedAtOnceAndNotForLong(t *testing.T) {
+	g := NewWithT(t)
+	gone := endpoint(1, "a")
+	view, b, now := viewOf(gone, endpoint(2, "a"), endpoint(3, "a")), seeded(), epoch
+	for _, want := range []time.Duration{ejectBase, 2 * ejectBase, 4 * ejectBase, 4 * ejectBase} {
+		span, out := b.Unreach(view, "booking", gone, now)
+		g.Expect(out).To(BeTrue())
+		g.Expect(span).To(Equal(want))
+		g.Expect(spread(b, view, 100, now)).NotTo(HaveKey(gone.ID))
+		now = now.Add(span)
+	}
+	b.Unreach(view, "booking", gone, now)
+	_, out := b.Unreach(view, "booking", endpoint(2, "a"), now)
+	g.Expect(out).To(BeFalse()) // no more than half of them
+}
+
 func TestShortDeadlinesBlameNobody(t *testing.T) {
 	g := NewWithT(t)
 	e := endpoint(1, "a")
--- a/qhbalance/observe.go
+++ b/qhbalance/observe.go
@@ -13,6 +13,9 @@
 	// ejectBase and ejectMax bound the time of an ejection, which doubles.
 	ejectBase = time.Second
 	ejectMax  = 30 * time.Second
+	// unreachMax bounds that of an endpoint that can't be connected to, which a cut
+	// that ends makes whole again.
+	unreachMax = 4 * time.Second
 	// ejectCap bounds the ejected endpoints of a service in hundredths; one
 	// may always be ejected where there are others.
 	ejectCap = 50
@@ -64,14 +67,27 @@
 func (b *Balancer) Fail(view *qhmember.View, service qhid.Service, endpoint *qhmember.Endpoint, now time.Time) (time.Duration, bool) {
 	observed := endpoint.Observed
 	observed.Errors.Add(1)
-	if observed.Failures.Add(1) < failuresToEject || ejected(endpoint, now) {
+	if observed.Failures.Add(1) < failuresToEject {
 		return 0, false
 	}
-	if !mayEject(b.pools.of(view, service).all, now) {
+	return b.eject(view, service, endpoint, now, ejectMax)
+}
+
+// Unreach notes a call for which no connection was made: nothing takes calls
+// there now, so the endpoint is ejected at once. It returns what Fail returns.
+func (b *Balancer) Unreach(view *qhmember.View, service qhid.Service, endpoint *qhmember.Endpoint, now time.Time) (time.Duration, bool) {
+	endpoint.Observed.Errors.Add(1)
+	return b.eject(view, service, endpoint, now, unreachMax)
+}
+
+// eject takes an endpoint out of use for a time, as long as that stays within the cap.
+func (b *Balancer) eject(view *qhmember.View, service qhid.Service, endpoint *qhmember.Endpoint, now time.Time, most time.Duration) (time.Duration, bool) {
+	observed := endpoint.Observed
+	if ejected(endpoint, now) || !mayEject(b.pools.of(view, service).all, now) {
 		return 0, false
 	}
 	old := observed.Ejected.Load()
-	span := min(ejectBase<<min(observed.Ejections.Load(), 5), ejectMax)
+	span := min(ejectBase<<min(observed.Ejections.Load(), 5), most)
 	if !observed.Ejected.CompareAndSwap(old, now.Add(span).UnixNano()) {
 		return 0, false
 	}
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -17,6 +17,7 @@
 	"quetzalhaven.dev/qhdecision"
 	"quetzalhaven.dev/qhguard"
 	"quetzalhaven.dev/qhheader"
+	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmember"
 )
 
@@ -168,7 +169,7 @@
 	c.answered(endpoint, a, time.Since(start))
 	a.brokeOff = func(err error) {
 		if ctx.Err() == nil { // else the call's own deadline ended it
-			c.fail(endpoint, err.Error())
+			c.fail(endpoint, err.Error(), c.proxy.balancer.Fail)
 		}
 	}
 	release := a.release
@@ -218,16 +219,22 @@
 		qhbalance.Leave(endpoint, time.Now())
 	case qhdecision.Deadline:
 		if qhbalance.Overdue(endpoint, took) {
-			c.fail(endpoint, f.Detail)
+			c.fail(endpoint, f.Detail, c.proxy.balancer.Fail)
 		}
-	case qhdecision.Connect, qhdecision.Connection, qhdecision.Silent:
-		c.fail(endpoint, f.Detail)
+	case qhdecision.Connect:
+		c.fail(endpoint, f.Detail, c.proxy.balancer.Unreach)
+	case qhdecision.Connection, qhdecision.Silent:
+		c.fail(endpoint, f.Detail, c.proxy.balancer.Fail)
 	}
 }
 
+// note counts a failure of an endpoint, and tells whether and for how long it
+// was ejected for it.
+type note func(view *qhmember.View, service qhid.Service, endpoint *qhmember.Endpoint, now time.Time) (time.Duration, bool)
+
 // fail counts a failure of the endpoint and ejects it where it had too many.
-func (c *call) fail(endpoint *qhmember.Endpoint, detail string) {
-	span, ejected := c.proxy.balancer.Fail(c.view, c.service.Name, endpoint, time.Now())
+func (c *call) fail(endpoint *qhmember.Endpoint, detail string, note note) {
+	span, ejected := note(c.view, c.service.Name, endpoint, time.Now())
 	if !ejected {
 		return
 	}
