qhproxy: Match what ran early with its request

Cause: a call that was begun early was found again by the number of its request alone. Where the server of net/http answers a request by itself (OPTIONS *) the numbers no longer agree, and a caller got the answer of another request.

Ruled out: requests that the server refuses, since it closes the connection then.

Change: id, method, path and host have to agree too; where they do not, the early calls of the connection end and no more are begun.

--- a/qhproxy/early.go
+++ b/qhproxy/early.go
@@ -159,14 +159,24 @@
 	}
 	c.served++
 	c.serving = true
-	if len(c.early) == 0 || c.early[0].number != c.served {
+	if len(c.early) == 0 || c.early[0].number > c.served && c.early[0].number == c.units.begun+1 {
 		return nil
 	}
 	e := c.early[0]
+	if e.number != c.served || !e.call.isOf(r) {
+		c.dropEarly() // the server answered a request by itself, so the numbers tell nothing
+		return nil
+	}
 	c.early = c.early[1:]
 	return e
 }
 
+// isOf tells whether the call is that of the request.
+func (c *call) isOf(r *http.Request) bool {
+	id := r.Header.Get(qhheader.RequestID)
+	return c.in.Method == r.Method && c.in.RequestURI == r.RequestURI && c.in.Host == r.Host && (id == "" || id == string(c.id))
+}
+
 // gone notes that the server is done with a request.
 func (c *callerConn) gone() {
 	c.mu.Lock()
@@ -177,11 +187,16 @@
 // Close closes the connection and ends the calls that wait for their turn.
 func (c *callerConn) Close() error {
 	c.mu.Lock()
-	dropped := c.early
-	c.early, c.start = nil, nil
+	c.dropEarly()
 	c.mu.Unlock()
-	for _, e := range dropped {
+	return c.Conn.Close()
+}
+
+// dropEarly ends the calls that wait for their turn and begins no more. The lock
+// is held.
+func (c *callerConn) dropEarly() {
+	for _, e := range c.early {
 		e.drop(c.group)
 	}
-	return c.Conn.Close()
+	c.early, c.start = nil, nil
 }
--- a/qhproxy/early_test.go
+++ b/qhproxy/early_test.go
@@ -121,6 +121,20 @@
 		Expect(body).To(Equal("/reads/1"))
 	})
 
+	It("get their own answers although the server answered one by itself", func() {
+		f.target("t1", "booking", "a", 8, echo)
+		send("OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n")
+		for i := range 5 {
+			send(get(fmt.Sprint("/reads/", i)))
+		}
+		resp, _ := answer()
+		Expect(resp.Request).To(BeNil())
+		for i := range 5 {
+			_, body := answer()
+			Expect(body).To(Equal(fmt.Sprint("/reads/", i)))
+		}
+	})
+
 	It("are refused in their turn where nothing takes them", func() {
 		f.target("t1", "booking", "a", 8, echo)
 		send(get("/reads/0") + get("/nowhere") + get("/reads/2"))
