qhfeed: Ask other nodes in one place

The exchange, the follower and the news each encoded a question, posted it and read the answer; peer.go does it for all three. An answer with a status other than 200 is now an error of the exchange too; before, its text was read as an answer and failed there.

--- a/qhfeed/exchange.go
+++ b/qhfeed/exchange.go
@@ -1,10 +1,7 @@
 package qhfeed
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -13,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"quetzalhaven.dev/qhconfig"
-	"quetzalhaven.dev/qherr"
 	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmember"
@@ -46,23 +42,14 @@
 	Config qhwire.Packed `json:"c,omitempty"`
 }
 
-func newPeerClient() *http.Client {
-	dialer := &net.Dialer{Timeout: exchangeTimeout}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: peerIdle, MaxIdleConnsPerHost: peerConns}}
-}
-
 // Handler answers the exchanges of other nodes.
 func (f *Feed) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+exchangePath, func(w http.ResponseWriter, r *http.Request) {
-		var heard told
-		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, int64(maxExchange))).Decode(&heard); err != nil {
-			http.Error(w, "send one JSON object", http.StatusBadRequest)
-			return
+		if heard, ok := read[told](w, r, maxExchange); ok {
+			f.hear(heard)
+			reply(w, f.answer(heard))
 		}
-		f.hear(heard)
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(f.answer(heard)) // a peer that is gone needs no answer
 	})
 	mux.HandleFunc("POST "+followPath, f.serveFollower)
 	mux.HandleFunc("POST "+newsPath, f.serveNews)
@@ -153,7 +140,8 @@
 func (f *Feed) ask(ctx context.Context, address qhid.Address) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	heard, err := f.exchange(ctx, address)
+	own := told{Version: f.Holder.Version(), Sum: f.Members.Digest(), Entries: []qhmember.Entry{f.Members.Self()}}
+	heard, err := post[told](ctx, f.client, address, exchangePath, own)
 	if err != nil {
 		f.Log.Info("peer does not answer", zap.String("address", string(address)), zap.Error(err))
 		return
@@ -162,24 +150,3 @@
 	f.peer.Store(true)
 	f.settle()
 }
-
-func (f *Feed) exchange(ctx context.Context, address qhid.Address) (told, error) {
-	body, err := json.Marshal(told{Version: f.Holder.Version(), Sum: f.Members.Digest(), Entries: []qhmember.Entry{f.Members.Self()}})
-	if err != nil {
-		return told{}, qherr.New(qherr.Internal, err, "report this as a fault", "the own entry can't be encoded")
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(address)+exchangePath, bytes.NewReader(body))
-	if err != nil {
-		return told{}, qherr.New(qherr.BadInput, err, "check the seeds", "no address of a peer")
-	}
-	resp, err := f.client.Do(request)
-	if err != nil {
-		return told{}, qherr.New(qherr.Unavailable, err, "another peer is asked", "no answer of a peer")
-	}
-	defer func() { _ = resp.Body.Close() }() // it was read
-	var heard told
-	if err := json.NewDecoder(io.LimitReader(resp.Body, int64(maxExchange))).Decode(&heard); err != nil {
-		return told{}, qherr.New(qherr.Unavailable, err, "another peer is asked", "the answer of a peer can't be read")
-	}
-	return heard, nil
-}
--- a/qhfeed/reader.go
+++ b/qhfeed/reader.go
@@ -1,10 +1,8 @@
 package qhfeed
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"encoding/json"
 	"net/http"
 	"slices"
 	"time"
@@ -124,42 +122,28 @@
 // tellReaders tells the other readers of a version that a listing had and no
 // watch had told of, as where the store forgot its history.
 func (f *Feed) tellReaders(ctx context.Context) {
-	body, err := json.Marshal(news{Version: f.Holder.Version()})
-	if err != nil {
-		f.Log.Error("news not encoded", zap.Error(err))
-		return
-	}
 	self, entries := f.Members.Self(), f.Members.View().Entries
 	for _, zone := range zonesOf(entries) {
 		for _, reader := range readersOf(entries, zone) {
 			if reader.Node != self.Node {
-				f.group.Go(func(context.Context) { f.tell(ctx, reader, body) })
+				f.group.Go(func(context.Context) { f.tell(ctx, reader) })
 			}
 		}
 	}
 }
 
-func (f *Feed) tell(ctx context.Context, reader qhmember.Entry, body []byte) {
+func (f *Feed) tell(ctx context.Context, reader qhmember.Entry) {
 	ctx, cancel := context.WithTimeout(ctx, newsBound)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(reader.Peers)+newsPath, bytes.NewReader(body))
-	if err != nil {
-		f.Log.Warn("reader not told", zap.String("member", string(reader.Node)), zap.Error(err))
-		return
-	}
-	resp, err := f.client.Do(request)
-	if err != nil {
+	if _, err := post[struct{}](ctx, f.client, reader.Peers, newsPath, news{Version: f.Holder.Version()}); err != nil {
 		f.Log.Info("reader not told; it hears by its calls", zap.String("member", string(reader.Node)), zap.Error(err))
-		return
 	}
-	_ = resp.Body.Close() // it is empty
 }
 
 // serveNews doubts the watches where another reader has a newer version.
 func (f *Feed) serveNews(w http.ResponseWriter, r *http.Request) {
-	var told news
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, int64(maxWanted))).Decode(&told); err != nil {
-		http.Error(w, "send one JSON object", http.StatusBadRequest)
+	told, ok := read[news](w, r, maxWanted)
+	if !ok {
 		return
 	}
 	if own := f.Holder.Version(); told.Version > own {
--- a/qhfeed/relay.go
+++ b/qhfeed/relay.go
@@ -1,10 +1,7 @@
 package qhfeed
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -97,9 +94,8 @@
 
 // serveFollower answers a node that follows the store through this one.
 func (f *Feed) serveFollower(w http.ResponseWriter, r *http.Request) {
-	var asked wanted
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, int64(maxWanted))).Decode(&asked); err != nil {
-		http.Error(w, "send one JSON object", http.StatusBadRequest)
+	asked, ok := read[wanted](w, r, maxWanted)
+	if !ok {
 		return
 	}
 	fo := f.followerOf(asked.Prefix)
@@ -112,8 +108,7 @@
 		http.Error(w, "ask another node or the store", status)
 		return
 	}
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(answer) // a node that is gone needs no answer
+	reply(w, answer)
 }
 
 func (f *Feed) followerOf(prefix qhplatform.Key) *follower {
@@ -218,29 +213,5 @@
 func (fo *follower) ask(ctx context.Context, reader qhmember.Entry, want wanted, bound time.Duration) (relayed, error) {
 	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
-	body, err := json.Marshal(want)
-	if err != nil {
-		return relayed{}, qherr.New(qherr.Internal, err, "report this as a fault", "the question can't be encoded")
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+string(reader.Peers)+followPath, bytes.NewReader(body))
-	if err != nil {
-		return relayed{}, qherr.New(qherr.BadInput, err, "another node or the store is asked", "no address of a reader")
-	}
-	resp, err := fo.feed.client.Do(request)
-	if err != nil {
-		return relayed{}, qherr.New(qherr.Unavailable, err, "another node or the store is asked", "no answer of a reader")
-	}
-	defer func() { _ = resp.Body.Close() }() // it was read
-	switch resp.StatusCode {
-	case http.StatusOK:
-	case http.StatusConflict:
-		return relayed{}, qherr.New(qherr.Conflict, nil, "list again", "the reader does not know what followed revision %d", want.After)
-	default:
-		return relayed{}, qherr.New(qherr.Unavailable, nil, "another node or the store is asked", "the reader answered with status %d", resp.StatusCode)
-	}
-	var answer relayed
-	if err := json.NewDecoder(io.LimitReader(resp.Body, int64(maxExchange))).Decode(&answer); err != nil {
-		return relayed{}, qherr.New(qherr.Unavailable, err, "another node or the store is asked", "the answer of a reader can't be read")
-	}
-	return answer, nil
+	return post[relayed](ctx, fo.feed.client, reader.Peers, followPath, want)
 }
