qhfeed: Remove entries of nodes that are gone for good

Ruled out: removal by those whose calls fail, since a node that is cut off from one other node lives for the rest; a lease on every entry, which costs a write a node every few seconds.

Change: nodes that hear from the store ask those of their zone every 5 s. One that misses three times in a row while another one answers is removed, at the revision that is known. Who lives after all writes its entry again, as before.

--- a/qhfeed/feed_test.go
+++ b/qhfeed/feed_test.go
@@ -56,20 +56,27 @@
 	holder  *qhhold.Holder
 	members *qhmember.Table
 	stop    func()
+	// close ends its peers' listener.
+	close func()
 }
 
 // join starts a node with its peers' listener.
 func join(id qhid.Node, store qhplatform.Store, seeds ...qhid.Address) *member {
+	return joinWith(id, store, Options{Seeds: func() []qhid.Address { return seeds }})
+}
+
+// joinWith starts a node with options of its own.
+func joinWith(id qhid.Node, store qhplatform.Store, options Options) *member {
 	server := httptest.NewUnstartedServer(nil)
 	address := qhid.Address(server.Listener.Addr().String())
 	m := &member{holder: qhhold.New(qhhold.Options{Node: id})}
 	m.members = qhmember.NewTable(qhmember.Options{Self: qhmember.Entry{
 		Node: id, Zone: "kigali-a", Peers: address, Calls: address, Incarnation: qhid.Incarnation(time.Now().UnixMilli()), Sequence: 1, State: qhmember.Up,
 	}})
-	m.feed, m.stop = New(Options{
-		Config: configKey, Decode: decodeWritten, Store: store, Holder: m.holder, Members: m.members,
-		Seeds: func() []qhid.Address { return seeds }, Log: zap.NewNop(), Metrics: metrics.NewSet(),
-	})
+	options.Config, options.Decode, options.Store = configKey, decodeWritten, store
+	options.Holder, options.Members, options.Log, options.Metrics = m.holder, m.members, zap.NewNop(), metrics.NewSet()
+	m.feed, m.stop = New(options)
+	m.close = server.Close
 	server.Config.Handler = m.feed.Handler()
 	server.Start()
 	DeferCleanup(func() {
--- a/qhfeed/nodes.go
+++ b/qhfeed/nodes.go
@@ -145,13 +145,13 @@
 		return nil
 	}
 	if qherr.Is(err, qherr.Conflict) || qherr.Is(err, qherr.Unknown) || qherr.Is(err, qherr.NotFound) {
-		f.look(ctx, own)
+		f.lookUp(ctx, own)
 	}
 	return err
 }
 
-// look reads the own entry as the store has it.
-func (f *Feed) look(ctx context.Context, own qhmember.Entry) {
+// lookUp reads the own entry as the store has it.
+func (f *Feed) lookUp(ctx context.Context, own qhmember.Entry) {
 	object, err := f.Store.Get(ctx, keyOf(own.Node))
 	if err != nil && !qherr.Is(err, qherr.NotFound) {
 		return // the next try comes here again
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -30,7 +30,7 @@
 // nodeKeys is the prefix of the nodes' entries in the store.
 const nodeKeys qhplatform.Key = "qhnodes/"
 
-// Options are the options of New. All fields but InForce are required.
+// Options are the options of New. All fields but InForce and Sweep are required.
 type Options struct {
 	// Config is the object that has the configuration.
 	Config qhplatform.Key
@@ -43,6 +43,8 @@
 	Seeds func() []qhid.Address
 	// InForce is how soon a configuration has to be in force everywhere.
 	InForce time.Duration
+	// Sweep is how often the nodes of the zone are looked after; 5 s where it is 0.
+	Sweep   time.Duration
 	Log     *zap.Logger
 	Metrics *metrics.Set
 }
@@ -86,6 +88,7 @@
 func New(options Options) (*Feed, func()) {
 	group, stop := qhgroup.New(context.Background())
 	options.InForce = cmp.Or(options.InForce, defaultInForce)
+	options.Sweep = cmp.Or(options.Sweep, defaultSweep)
 	f := &Feed{
 		Options:   options,
 		group:     group,
@@ -106,6 +109,7 @@
 	group.Go(f.nodes.run)
 	group.Go(f.publish)
 	group.Go(f.askPeers)
+	group.Go(f.sweep)
 	return f, stop
 }
 
