qhspread: Ask peers again at a start where none had an answer

The platform does not answer there, and the peers are asked once: where that came to nothing the node was ready without a version, long before its bound of 3 s. Which of the peers' answers was lacking is not known, as that test logs nothing.

Change: where the platform does not answer, peers are asked until the node has a version or the bound has passed.

--- a/qhspread/begin.go
+++ b/qhspread/begin.go
@@ -29,7 +29,8 @@
 	pause(ctx, jitter(startJitter))
 	head, err := s.Chain.Read(ctx)
 	if err != nil {
-		return // the peers' newest has to do, the exchange goes on
+		s.askUntilKnown(ctx) // the peers' newest has to do, the exchange goes on
+		return
 	}
 	s.platform.note()
 	for ctx.Err() == nil {
@@ -40,6 +41,18 @@
 	}
 }
 
+// askUntilKnown asks peers again where none had an answer, until the node has a
+// version or the bound has passed.
+func (s *Spreader) askUntilKnown(ctx context.Context) {
+	for ctx.Err() == nil {
+		if known, _ := s.content.known(); known > 0 {
+			return
+		}
+		s.askPeers(ctx)
+		pause(ctx, startPoll)
+	}
+}
+
 // askPeers takes the newest version of some nodes of this availability zone.
 func (s *Spreader) askPeers(ctx context.Context) {
 	for _, entry := range s.sample(startPeers) {
