qhconfig: Repair the invalid parts of a configuration instead of refusing it

Cause: platform.DecodeConfig returned an error for a route of an unknown kind, and the holder refuses a version with any invalid entry. Ruled out: refusing the version (a new node has nothing older), and leaving the route out (its calls match a shorter prefix or get 404). Operators' configurations are repaired by qhconfig.Repair when Check fails; an unusable route stays as unavailable, and its calls are refused as not executed. Problems go into the log, the gauge qh_config_problems, the dump and qhctl explain. One change to an existing test: the test that compares every field of a route learned to set a bool.

--- a/qhconfig/check_test.go
+++ b/qhconfig/check_test.go
@@ -95,6 +95,8 @@
 			field.SetString("x")
 		case reflect.Int, reflect.Int64:
 			field.SetInt(1)
+		case reflect.Bool:
+			field.SetBool(true)
 		case reflect.Slice:
 			field.Set(reflect.MakeSlice(field.Type(), 1, 1))
 		default:
--- a/qhconfig/checker.go
+++ b/qhconfig/checker.go
@@ -81,7 +81,9 @@
 	c.checkHost(r.Host)
 	c.checkPrefix(r.Prefix)
 	c.checkMethods(r.Methods)
-	c.checkShares(r.Shares)
+	if !r.Unavailable || len(r.Shares) > 0 {
+		c.checkShares(r.Shares)
+	}
 	c.checkRetry(r.Retry)
 	c.checkRouteLimits(r)
 }
@@ -169,6 +171,9 @@
 }
 
 func (c *checker) checkRouteLimits(r *Route) {
+	if r.Unavailable && len(r.Shares) > 0 {
+		c.addProblem("remove the shares or make it available", "it is unavailable but has shares")
+	}
 	c.checkDuration("timeout", r.Timeout)
 	c.checkDuration("silence", r.FirstByteTimeout)
 	if r.Timeout > 0 && r.FirstByteTimeout > r.Timeout {
--- a/qhconfig/config.go
+++ b/qhconfig/config.go
@@ -59,8 +59,11 @@
 	// Methods are in upper case and sorted; an empty list matches every method.
 	Methods []string `json:"methods,omitempty"`
 	// Shares name existing services, sorted by service. Their percentages add up
-	// to 100, or all of them have weights.
+	// to 100, or all of them have weights. They are empty if the route is
+	// unavailable.
 	Shares []Share `json:"shares"`
+	// Unavailable makes nodes refuse the calls of the route as not executed.
+	Unavailable bool `json:"unavailable,omitempty"`
 	// Retry controls which calls of the route may be retried.
 	Retry RetryPolicy `json:"repeat,omitempty"`
 	// Timeout applies to calls without a deadline and limits the deadline of all
--- a/qhconfig/equal.go
+++ b/qhconfig/equal.go
@@ -18,6 +18,7 @@
 		r.Prefix == other.Prefix &&
 		slices.Equal(r.Methods, other.Methods) &&
 		slices.Equal(r.Shares, other.Shares) &&
+		r.Unavailable == other.Unavailable &&
 		r.Retry == other.Retry &&
 		r.Timeout == other.Timeout &&
 		r.FirstByteTimeout == other.FirstByteTimeout &&
--- a/qhctl/qhask/state.go
+++ b/qhctl/qhask/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qhdecision"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmember"
@@ -33,4 +34,7 @@
 	Services int                `json:"services"`
 	Routes   int                `json:"routes"`
 	Refusals []qhstatus.Refusal `json:"refusals,omitempty"`
+	// Problems are those of the configuration as the node received it. Its invalid
+	// parts are left out or restricted.
+	Problems []qhconfig.Problem `json:"problems,omitempty"`
 }
--- a/qhctl/qhtext/node.go
+++ b/qhctl/qhtext/node.go
@@ -23,6 +23,9 @@
 		w.Field("holds", fmt.Sprintf("version %d with %s and %s, digest %s", state.Config.Version,
 			plural(state.Config.Services, "service"), plural(state.Config.Routes, "route"), state.Config.Digest))
 	}
+	for _, problem := range state.Config.Problems {
+		w.Field("repaired", problem.String())
+	}
 	for _, refused := range state.Config.Refusals {
 		w.Field("refuses", fmt.Sprintf("version %d: %s", refused.Version, refused.Reason))
 	}
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -37,8 +37,8 @@
 	// ConfigKey is the key of the object that holds the configuration.
 	ConfigKey qhplatform.Key
 	// DecodeConfig decodes the value of that object into a configuration and its
-	// version.
-	DecodeConfig func(value []byte) (qhid.Version, qhconfig.Config, error)
+	// version. The problems are those of parts that could not be decoded.
+	DecodeConfig func(value []byte) (qhid.Version, qhconfig.Config, []qhconfig.Problem, error)
 	Store        qhplatform.Store
 	Holder       *qhhold.Holder
 	Members      *qhmember.Table
@@ -150,8 +150,8 @@
 	}
 }
 
-// applyConfigObjects applies the configuration if it is among the objects. An
-// invalid one is refused, and the previous version stays in force.
+// applyConfigObjects applies the configuration if it is among the objects. One that
+// cannot be decoded is refused, and the previous version stays in force.
 func (f *Feed) applyConfigObjects(objects []qhplatform.Object, _ bool) {
 	for _, object := range objects {
 		if object.Key == f.ConfigKey && object.Value != nil {
@@ -161,9 +161,9 @@
 }
 
 func (f *Feed) applyConfig(value []byte, source string) {
-	version, config, err := f.DecodeConfig(value)
+	version, config, problems, err := f.DecodeConfig(value)
 	if err == nil {
-		_, err = f.Holder.ApplyWithoutDigest(version, config)
+		_, err = f.Holder.ApplyRepaired(version, config, problems)
 	}
 	if err != nil {
 		f.Log.Error("cannot apply configuration", zap.String("from", source), zap.Uint64("version", uint64(version)), zap.Error(err))
--- a/qhhold/counts.go
+++ b/qhhold/counts.go
@@ -9,6 +9,13 @@
 
 func newApplyCounters(set *metrics.Set, holder *Holder) applyCounters {
 	set.GetOrCreateGauge("qh_config_version", func() float64 { return float64(holder.Version()) })
+	set.GetOrCreateGauge("qh_config_problems", func() float64 {
+		snapshot := holder.Current()
+		if snapshot == nil {
+			return 0
+		}
+		return float64(len(snapshot.Problems))
+	})
 	return applyCounters{
 		applied:      set.GetOrCreateCounter(`qh_config_offers_total{result="applied"}`),
 		stale:        set.GetOrCreateCounter(`qh_config_offers_total{result="stale"}`),
--- a/qhhold/holder.go
+++ b/qhhold/holder.go
@@ -1,6 +1,7 @@
 package qhhold
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -14,6 +15,9 @@
 	"quetzalhaven.dev/qhstatus"
 )
 
+// maxLoggedProblems bounds the problems of one configuration that are logged.
+const maxLoggedProblems = 8
+
 // Options configures a Holder.
 type Options struct {
 	// Node is the id of the holder's node, which its refusals carry.
@@ -112,6 +116,40 @@
 	return h.validateAndSwap(version, config, digest, digester)
 }
 
+// ApplyRepaired is ApplyWithoutDigest for a version that operators wrote without a
+// check of the product. An invalid configuration is repaired first, so that its
+// other parts are in force. problems are those found while it was decoded.
+func (h *Holder) ApplyRepaired(version qhid.Version, config qhconfig.Config, problems []qhconfig.Problem) (bool, error) {
+	if config.Check() != nil {
+		repaired, found := config.Repair()
+		config, problems = repaired, slices.Concat(problems, found)
+	}
+	applied, err := h.ApplyWithoutDigest(version, config)
+	if err == nil && len(problems) > 0 {
+		h.recordProblems(version, problems)
+	}
+	return applied, err
+}
+
+// recordProblems adds the problems to the snapshot of the version and logs them,
+// unless that was done before or a newer version is in force.
+func (h *Holder) recordProblems(version qhid.Version, problems []qhconfig.Problem) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.Version() != version || h.Current().Problems != nil {
+		return
+	}
+	snapshot := *h.Current()
+	snapshot.Problems = problems
+	h.current.Store(&snapshot)
+	texts := make([]string, min(len(problems), maxLoggedProblems))
+	for i := range texts {
+		texts[i] = problems[i].String()
+	}
+	h.log.Warn("configuration repaired", zap.Uint64("version", uint64(version)),
+		zap.Int("count", len(problems)), zap.Strings("problems", texts))
+}
+
 // ApplyDiff applies a diff to the current version and puts the result in force. It
 // returns what Apply returns, and an error of kind Conflict if the diff does not
 // apply to the current version; the caller then has to fetch the full version.
--- a/qhhold/snapshot.go
+++ b/qhhold/snapshot.go
@@ -15,4 +15,7 @@
 	Config   qhconfig.Config
 	Services map[qhid.Service]*qhconfig.Service
 	Index    *qhroute.Index
+	// Problems are those of the configuration as it was received, which Config
+	// no longer has.
+	Problems []qhconfig.Problem
 }
--- a/qhnode/qhserve/dump.go
+++ b/qhnode/qhserve/dump.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qhdecision"
 	"quetzalhaven.dev/qhguard"
 	"quetzalhaven.dev/qhid"
@@ -41,6 +42,9 @@
 	Services int                `json:"services"`
 	Routes   int                `json:"routes"`
 	Refusals []qhstatus.Refusal `json:"refusals,omitempty"`
+	// Problems are those of the configuration as it was received. Its invalid
+	// parts are left out or restricted.
+	Problems []qhconfig.Problem `json:"problems,omitempty"`
 }
 
 // ZoneMembers counts the nodes of an availability zone by state, and their
@@ -122,6 +126,7 @@
 		inForce.Digest = snapshot.Digest
 		inForce.Services = len(snapshot.Config.Services)
 		inForce.Routes = len(snapshot.Config.Routes)
+		inForce.Problems = snapshot.Problems
 	}
 	return inForce
 }
--- a/qhplan/change.go
+++ b/qhplan/change.go
@@ -120,6 +120,7 @@
 		{"prefix", route.Prefix},
 		{"methods", formatNames(route.Methods)},
 		{"shares", formatShares(route.Shares)},
+		{"unavailable", formatFlag(route.Unavailable)},
 		{"repeat", retryPolicy},
 		{"timeout", formatDuration(route.Timeout)},
 		{"silence", formatDuration(route.FirstByteTimeout)},
@@ -134,6 +135,13 @@
 	return strconv.Itoa(n)
 }
 
+func formatFlag(set bool) string {
+	if !set {
+		return ""
+	}
+	return "yes"
+}
+
 func formatDuration(d qhconfig.Duration) string {
 	if d == 0 {
 		return ""
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -178,6 +178,9 @@
 	if c.route == nil {
 		return notExecuted(qhdecision.NoRoute, http.StatusNotFound, 0, "no route matches "+describeRequest(c.request)+"; check host, path and method")
 	}
+	if c.route.Unavailable {
+		return notExecuted(qhdecision.NoTarget, http.StatusServiceUnavailable, defaultRetryAfter, "the configuration has no usable destination for route "+string(c.route.Name)+"; correct the route")
+	}
 	name := qhroute.ChooseService(c.route, c.proxy.random(max(1, qhroute.TotalShares(c.route))))
 	c.service = c.snapshot.Services[name]
 	if c.service == nil {
