qhmember, qhbalance: Give an address to the node that started last

A VM was replaced at 1 s and its address given to the next one. Its entry stayed in the store: the probes that look for nodes that are gone reached the new node. A node that restarted at 19 s took the stale entry, chose the endpoint, and was told that the target is not registered. In panic mode it chose it again, as this ignored refusals as leaving or gone together with ejections. Ruled out: the outage of the store (18 to 26 s); the entry was merged again from it after it had come back, and stayed. Change: of two nodes with one peer address the member table keeps the one that started last, in any order of entries, and this node's own always. A node deletes stored entries of others that have its address. A refusal as leaving is kept apart from an ejection and holds in panic mode.

--- a/qhbalance/balance_test.go
+++ b/qhbalance/balance_test.go
@@ -45,6 +45,20 @@
 	return counts
 }
 
+// TestPanicModeSkipsEndpointsThatRefuseAsLeaving has the only endpoint of the own
+// zone refuse calls as leaving, as a target does that is gone, while those of
+// another zone are busy. In panic mode it used to get every call.
+func TestPanicModeSkipsEndpointsThatRefuseAsLeaving(t *testing.T) {
+	g := NewWithT(t)
+	gone, busy := newEndpoint(0, "a"), newEndpoint(1, "b")
+	busy.Stats.InFlight.Store(9)
+	RecordLeaving(gone, startTime)
+	counts := countChoices(newSeededBalancer(), newView(gone, busy), 50, startTime.Add(leavingDuration/2))
+	g.Expect(counts).To(Equal(map[qhid.Target]int{busy.ID: 50}))
+	counts = countChoices(newSeededBalancer(), newView(gone, busy), 50, startTime.Add(2*leavingDuration))
+	g.Expect(counts[gone.ID]).To(BeNumerically(">", 0))
+}
+
 // TestChooseReturnsOnlyUsableEndpoints draws endpoints in all states and checks
 // that a choice accepts calls, was neither tried nor retired, and outside of
 // panic mode is neither ejected nor on a down node.
@@ -87,7 +101,7 @@
 		}
 		e := choice.Endpoint
 		_, retired := slices.BinarySearch(service.Retired, e.ID)
-		if retired || tried.contains(e) || !acceptsCalls(e) || choice.Reason != qhdecision.PanicMode && (e.NodeDown || isEjected(e, startTime)) {
+		if retired || tried.contains(e) || !acceptsCalls(e, startTime) || choice.Reason != qhdecision.PanicMode && (e.NodeDown || isEjected(e, startTime)) {
 			r.Fatalf("chose %+v for %s", e.AnnouncedTarget, choice.Reason)
 		}
 	})
--- a/qhbalance/choose.go
+++ b/qhbalance/choose.go
@@ -276,7 +276,7 @@
 // was not tried or retired and, outside of panic mode, is neither ejected nor
 // on a down node.
 func (s *selection) isUsable(endpoint *qhmember.Endpoint) bool {
-	if !acceptsCalls(endpoint) || s.tried.contains(endpoint) {
+	if !acceptsCalls(endpoint, s.now) || s.tried.contains(endpoint) {
 		return false
 	}
 	if _, retired := slices.BinarySearch(s.service.Retired, endpoint.ID); retired {
--- a/qhbalance/observe.go
+++ b/qhbalance/observe.go
@@ -127,10 +127,7 @@
 // RecordLeaving records that the endpoint accepts no new calls, ahead of the
 // announcement of its node.
 func RecordLeaving(endpoint *qhmember.Endpoint, now time.Time) {
-	until := now.Add(leavingDuration).UnixNano()
-	if endpoint.Stats.EjectedUntil.Load() < until {
-		endpoint.Stats.EjectedUntil.Store(until)
-	}
+	endpoint.Stats.LeavingUntil.Store(now.Add(leavingDuration).UnixNano())
 }
 
 // canEject reports whether maxEjectedPercent allows one more ejection.
--- a/qhbalance/pool.go
+++ b/qhbalance/pool.go
@@ -85,7 +85,7 @@
 	oldest := now.UnixNano()
 	for _, endpoint := range g.endpoints {
 		oldest = min(oldest, endpoint.Stats.FirstSeen.Load())
-		if !acceptsCalls(endpoint) {
+		if !acceptsCalls(endpoint, now) {
 			continue
 		}
 		accepting++
@@ -115,9 +115,10 @@
 	return max(coldPercent, int(age*100/rampUp))
 }
 
-// acceptsCalls reports whether the endpoint's announced state allows new calls.
-func acceptsCalls(endpoint *qhmember.Endpoint) bool {
-	return endpoint.State != qhmember.Leaving && endpoint.State != qhmember.Down
+// acceptsCalls reports whether the endpoint's announced state allows new calls and
+// it refused none as leaving lately.
+func acceptsCalls(endpoint *qhmember.Endpoint, now time.Time) bool {
+	return endpoint.State != qhmember.Leaving && endpoint.State != qhmember.Down && endpoint.Stats.LeavingUntil.Load() <= now.UnixNano()
 }
 
 // isEjected reports whether the endpoint is ejected at the given time.
--- a/qhfeed/nodes.go
+++ b/qhfeed/nodes.go
@@ -39,6 +39,7 @@
 		}
 		entries = append(entries, entry)
 	}
+	f.removeSucceeded(entries)
 	for _, entry := range f.Members.Merge(entries) {
 		f.Log.Info("member updated", zap.String("member", string(entry.Node)), zap.String("state", string(entry.State)),
 			zap.Uint64("incarnation", uint64(entry.Incarnation)), zap.Uint64("sequence", uint64(entry.Sequence)), zap.Int("targets", len(entry.Targets)))
@@ -52,6 +53,17 @@
 	}
 }
 
+// removeSucceeded deletes the stored entries of other nodes that have this node's
+// address. They are gone, but probes of them reach this node.
+func (f *Feed) removeSucceeded(entries []qhmember.Entry) {
+	self := f.Members.Self()
+	for _, entry := range entries {
+		if entry.Node != self.Node && entry.PeerAddress == self.PeerAddress {
+			f.group.Go(func(ctx context.Context) { f.removeDownEntry(ctx, entry, "this node has its address") })
+		}
+	}
+}
+
 // recordRevision records the revision of a node's entry in the store, or that the
 // entry was deleted.
 func (f *Feed) recordRevision(node qhid.Node, object qhplatform.Object) {
--- a/qhfeed/probe.go
+++ b/qhfeed/probe.go
@@ -69,7 +69,7 @@
 		misses.count++
 		missed[entry.Node] = misses
 		if misses.count >= maxMissedProbes {
-			f.removeDownEntry(ctx, entry)
+			f.removeDownEntry(ctx, entry, "it did not respond to probes")
 			delete(missed, entry.Node)
 		}
 	}
@@ -86,7 +86,7 @@
 
 // removeDownEntry deletes the entry of a node that is down, unless the entry has
 // changed meanwhile.
-func (f *Feed) removeDownEntry(ctx context.Context, entry qhmember.Entry) {
+func (f *Feed) removeDownEntry(ctx context.Context, entry qhmember.Entry, cause string) {
 	f.mu.Lock()
 	revision := f.entryRevisions[entry.Node]
 	f.mu.Unlock()
@@ -98,5 +98,6 @@
 		f.Log.Info("cannot delete entry of down node", zap.String("member", string(entry.Node)), zap.Error(err))
 		return
 	}
-	f.removeMember(entry.Node, "it did not respond to probes")
+	f.Log.Info("entry of down node deleted", zap.String("member", string(entry.Node)), zap.String("cause", cause))
+	f.removeMember(entry.Node, cause)
 }
--- a/qhfeed/probe_test.go
+++ b/qhfeed/probe_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -49,6 +50,20 @@
 		Eventually(nodes[0].knownTargets).WithTimeout(eventuallyTimeout).Should(ConsistOf(qhid.Target("t0"), qhid.Target("t1")))
 	})
 
+	It("are deleted by the node that has got the address of one", func() {
+		entry, known := nodes[0].members.Get("n0")
+		Expect(known).To(BeTrue())
+		entry.Node, entry.Incarnation = "gone", entry.Incarnation-5
+		value, err := json.Marshal(entry)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = store.Create(ctx, entryKey("gone"), value)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(readEntry("gone")).WithTimeout(eventuallyTimeout).Should(Satisfy(func(err error) bool { return qherr.Is(err, qherr.NotFound) }))
+		for _, node := range nodes {
+			Expect(node.knownTargets()).To(HaveLen(len(nodes)))
+		}
+	})
+
 	It("are kept if no node of the zone responds, since the probing node may be cut off", func() {
 		stopNode(nodes[1])
 		stopNode(nodes[2])
--- a/qhmember/endpoint_stats.go
+++ b/qhmember/endpoint_stats.go
@@ -14,10 +14,14 @@
 	ConsecutiveFailures atomic.Int64
 	// ErrorRate is the moving share of responses that were errors, in thousandths.
 	ErrorRate atomic.Int64
-	// EjectedUntil is the time until which the endpoint gets no calls, in
-	// nanoseconds of the Unix epoch, because it was ejected or refused a call as
-	// leaving; 0 if neither has happened. Panic mode ignores it.
+	// EjectedUntil is the time until which the endpoint gets no calls because it
+	// was ejected, in nanoseconds of the Unix epoch; 0 if that has not happened.
+	// Panic mode ignores it.
 	EjectedUntil atomic.Int64
+	// LeavingUntil is the time until which the endpoint gets no calls because it
+	// refused one as leaving or gone, in nanoseconds of the Unix epoch; 0 if that
+	// has not happened. It holds in panic mode too: the refusal is certain.
+	LeavingUntil atomic.Int64
 	// ConsecutiveEjections is the number of ejections in a row; each lasts longer
 	// than the one before.
 	ConsecutiveEjections atomic.Int64
--- a/qhmember/table.go
+++ b/qhmember/table.go
@@ -33,6 +33,10 @@
 	self qhid.Node
 	// entries has one entry per node.
 	entries map[qhid.Node]Entry
+	// addresses has the node at each peer address. Of the nodes that announced an
+	// address, only the one that started last has an entry: the others are gone,
+	// and their VM's address was assigned again.
+	addresses map[qhid.Address]qhid.Node
 	// checksums has the checksum of each availability zone. It is updated with every
 	// change of entries.
 	checksums map[qhid.Zone]Checksum
@@ -57,6 +61,7 @@
 		viewInterval: options.ViewInterval,
 		self:         options.Self.Node,
 		entries:      make(map[qhid.Node]Entry),
+		addresses:    make(map[qhid.Address]qhid.Node),
 		checksums:    make(map[qhid.Zone]Checksum),
 		pending:      make(map[qhid.Node]Entry),
 	}
@@ -99,7 +104,7 @@
 
 func (t *Table) mergeEntry(entry Entry) (Entry, bool) {
 	known, ok := t.entries[entry.Node]
-	if ok && Compare(entry, known) <= 0 {
+	if ok && Compare(entry, known) <= 0 || t.isSucceeded(entry) {
 		return Entry{}, false
 	}
 	if entry.Node == t.self {
@@ -113,6 +118,22 @@
 	return entry, true
 }
 
+// isSucceeded reports whether another node, started later, has the address of the
+// entry, or this node has it.
+func (t *Table) isSucceeded(entry Entry) bool {
+	holder, ok := t.addresses[entry.PeerAddress]
+	if !ok || holder == entry.Node {
+		return false
+	}
+	return holder == t.self || startedBefore(entry, t.entries[holder])
+}
+
+// startedBefore orders the nodes at one address. Nodes that started together are
+// ordered by id, so that all tables agree.
+func startedBefore(a, b Entry) bool {
+	return a.Incarnation < b.Incarnation || a.Incarnation == b.Incarnation && a.Node < b.Node
+}
+
 // minRefuteInterval is the minimum time between two refutations. It limits the
 // updates caused by two processes that run with the same id, which refute each other
 // without end. That happens when a paused VM resumes after it was replaced.
@@ -168,20 +189,36 @@
 	if !ok || node == t.self || known.Incarnation > incarnation {
 		return false
 	}
-	t.checksums[known.Zone] -= entryChecksum(known)
-	if _, ok := t.pending[node]; !ok {
-		t.pending[node] = known
-	}
-	delete(t.entries, node)
+	t.drop(known)
 	t.rebuild()
 	return true
 }
 
-// put stores an entry and updates the checksums. The lock is held.
+// drop removes a node's entry. The lock is held.
+func (t *Table) drop(known Entry) {
+	t.checksums[known.Zone] -= entryChecksum(known)
+	if _, ok := t.pending[known.Node]; !ok {
+		t.pending[known.Node] = known
+	}
+	delete(t.entries, known.Node)
+	if t.addresses[known.PeerAddress] == known.Node {
+		delete(t.addresses, known.PeerAddress)
+	}
+}
+
+// put stores an entry and updates the checksums. A node that had the address
+// before is dropped. The lock is held.
 func (t *Table) put(entry Entry) {
 	known, ok := t.entries[entry.Node]
 	if ok {
 		t.checksums[known.Zone] -= entryChecksum(known)
+		delete(t.addresses, known.PeerAddress)
+	}
+	if holder, ok := t.addresses[entry.PeerAddress]; ok && holder != entry.Node {
+		t.drop(t.entries[holder])
+	}
+	if entry.PeerAddress != "" {
+		t.addresses[entry.PeerAddress] = entry.Node
 	}
 	if _, ok := t.pending[entry.Node]; !ok {
 		t.pending[entry.Node] = known
--- a/qhmember/table_test.go
+++ b/qhmember/table_test.go
@@ -15,7 +15,7 @@
 
 func newEntry(node qhid.Node, incarnation qhid.Incarnation, sequence qhid.Sequence, state qhmember.State) qhmember.Entry {
 	return qhmember.Entry{
-		Node: node, Zone: "kigali-a", PeerAddress: "127.0.0.1:7001", CallAddress: "127.0.0.1:7002",
+		Node: node, Zone: "kigali-a", PeerAddress: qhid.Address(node) + ":7001", CallAddress: qhid.Address(node) + ":7002",
 		Incarnation: incarnation, Sequence: sequence, State: state,
 		Targets: []qhmember.AnnouncedTarget{{ID: qhid.Target(node) + "-booking", Service: "booking", State: qhmember.Up, Slots: 9}},
 	}
@@ -128,6 +128,32 @@
 		Expect(refutations).To(BeNumerically("<=", 12))
 	})
 
+	It("gives an address to the node that started last, in any order of entries", func() {
+		old := qhmember.Entry{Node: "n1", Zone: "z", PeerAddress: "10.0.0.1:80", Incarnation: 5, Sequence: 9, State: qhmember.Up, Targets: []qhmember.AnnouncedTarget{{ID: "t1", Service: "booking"}}}
+		successor := qhmember.Entry{Node: "n2", Zone: "z", PeerAddress: "10.0.0.1:80", Incarnation: 6, Sequence: 1, State: qhmember.Up, Targets: []qhmember.AnnouncedTarget{{ID: "t2", Service: "booking"}}}
+		var checksums []qhmember.Checksum
+		for _, entries := range [][]qhmember.Entry{{old, successor}, {successor, old}} {
+			t := qhmember.NewTable(qhmember.Options{Self: qhmember.Entry{Node: "self", Zone: "z", PeerAddress: "10.0.0.9:80", Incarnation: 1, State: qhmember.Up}})
+			for _, entry := range entries {
+				t.Merge([]qhmember.Entry{entry})
+			}
+			Expect(t.View().Services["booking"]).To(HaveLen(1))
+			Expect(t.View().Services["booking"][0].ID).To(BeEquivalentTo("t2"))
+			_, known := t.Get("n1")
+			Expect(known).To(BeFalse())
+			checksums = append(checksums, t.Checksum())
+		}
+		Expect(checksums[0]).To(Equal(checksums[1]))
+	})
+
+	It("keeps its own address whatever other entries say", func() {
+		t := qhmember.NewTable(qhmember.Options{Self: qhmember.Entry{Node: "self", Zone: "z", PeerAddress: "10.0.0.9:80", Incarnation: 1, State: qhmember.Up}})
+		t.Merge([]qhmember.Entry{{Node: "n1", Zone: "z", PeerAddress: "10.0.0.9:80", Incarnation: 7, State: qhmember.Up}})
+		_, known := t.Get("n1")
+		Expect(known).To(BeFalse())
+		Expect(t.Self().Node).To(BeEquivalentTo("self"))
+	})
+
 	It("marks a node down only if the given entry is its latest", func() {
 		table := qhmember.NewTable(qhmember.Options{})
 		outdated := newEntry("a1", 1, 1, qhmember.Up)
--- a/qhnode/qhserve/dump.go
+++ b/qhnode/qhserve/dump.go
@@ -203,7 +203,7 @@
 		ConsecutiveFailures: stats.ConsecutiveFailures.Load(),
 		Latency:             time.Duration(stats.Latency.Load()).String(),
 	}
-	if until := stats.EjectedUntil.Load(); until > time.Now().UnixNano() {
+	if until := max(stats.EjectedUntil.Load(), stats.LeavingUntil.Load()); until > time.Now().UnixNano() {
 		at := time.Unix(0, until)
 		called.EjectedUntil = &at
 	}
