qhproxy: Place a refused upload elsewhere, and let its memory not grow

The rest is read within 1 MB and a second; after that the connection is closed. - A link that broke while the caller paused was noticed only at the deadline, because the HTTP/2 transport waits for the Read of the body to return. - The configuration's limit on bodies was not enforced, and 8 MB of the settings applied where it says 64 MB. It now goes before the settings. - Each 4 KB of a body were searched for request heads and copied three times. A body of known length is now read straight into the reader's buffer. Ruled out: buffering more of a body for a second attempt, which grows memory. Found, not mended: the timeout for the first byte of a response also runs while the caller still sends its body.

--- a/qhconfig/config.go
+++ b/qhconfig/config.go
@@ -15,14 +15,14 @@
 	Services []Service `json:"services"`
 	// Routes are sorted by name without duplicates.
 	Routes []Route `json:"routes"`
-	// Limits are the operators' limits for all callers. They are validated and
-	// distributed, but nodes do not enforce them: their own settings
-	// (qhsetting.Calls) and fixed timeouts apply.
+	// Limits are the operators' limits for all callers. Nodes enforce that on
+	// bodies; for the others their own settings (qhsetting.Calls) and fixed
+	// timeouts apply.
 	Limits CallerLimits `json:"limits,omitzero"`
 }
 
 // CallerLimits has limits for the size and duration of what callers send; 0 is
-// unset. Nodes do not enforce them, see Config.Limits.
+// unset. See Config.Limits for which of them nodes enforce.
 type CallerLimits struct {
 	// MaxHeaderBytes limits the total size of a request's headers.
 	MaxHeaderBytes qhid.Bytes `json:"headers,omitempty"`
--- a/qhconn/nodes.go
+++ b/qhconn/nodes.go
@@ -40,6 +40,9 @@
 	// maxNodeConns bounds the connections to one node that are opened because
 	// the others are busy.
 	maxNodeConns = 8
+	// continueTimeout bounds how long a request with Expect: 100-continue keeps its
+	// body back. It is longer than a call may wait for a slot.
+	continueTimeout = time.Minute
 	// MaxStreams is the maximum number of concurrent calls on one connection.
 	MaxStreams = 250
 )
@@ -98,6 +101,7 @@
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: HTTP2HeaderFactor * maxResponseHeaderBytes,
 		IdleConnTimeout:        nodeIdleTimeout,
+		ExpectContinueTimeout:  continueTimeout,
 		Protocols:              &protocols,
 		HTTP2:                  HTTP2Config(),
 	}}
--- a/qhproxy/body.go
+++ b/qhproxy/body.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"sync"
+
+	"quetzalhaven.dev/qhgroup"
 )
 
 // maxBufferedRequest is the size in bytes up to which a request body is
@@ -31,6 +34,11 @@
 	stream io.Reader
 	// length is -1 if it is unknown.
 	length int64
+	// streamMu serializes reads from the stream.
+	streamMu sync.Mutex
+	// group runs the reads of a stream that must not block the end of an attempt;
+	// nil if they may.
+	group *qhgroup.Group
 
 	mu sync.Mutex
 	// streamRead is set once an attempt may have read from the stream.
@@ -88,6 +96,8 @@
 // reader returns the body for the current attempt.
 func (b *requestBody) reader() io.ReadCloser {
 	switch {
+	case b.stream != nil && b.group != nil:
+		return newDetachedReader(b.group, &streamReader{body: b, attempt: b.attempt})
 	case b.stream != nil:
 		return &streamReader{body: b, attempt: b.attempt}
 	case b.buffer != nil:
@@ -97,6 +107,15 @@
 	}
 }
 
+// remainder returns a reader of what no attempt has read of the stream. Attempts can
+// no longer read from it.
+func (b *requestBody) remainder() io.Reader {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.attempt++
+	return &streamReader{body: b, attempt: b.attempt}
+}
+
 // errStaleAttempt is the error of reading the body for an attempt after a later
 // attempt has started.
 var errStaleAttempt = errors.New("the call is retried in a later attempt") //nolint:gochecknoglobals // a sentinel
@@ -110,6 +129,8 @@
 
 // Read reads from the stream. It fails once a later attempt has started.
 func (s *streamReader) Read(p []byte) (int, error) {
+	s.body.streamMu.Lock()
+	defer s.body.streamMu.Unlock()
 	if !s.body.startStreamRead(s.attempt) {
 		return 0, errStaleAttempt
 	}
@@ -122,3 +143,28 @@
 
 // Close does nothing.
 func (s *streamReader) Close() error { return nil }
+
+// detachedReader reads a stream in a goroutine of its own, so that Close ends a Read
+// that waits for the caller. The HTTP/2 transport reports a broken connection only
+// after the Read of the body has returned.
+type detachedReader struct {
+	*io.PipeReader
+	start func()
+}
+
+func newDetachedReader(group *qhgroup.Group, stream *streamReader) *detachedReader {
+	reader, writer := io.Pipe()
+	return &detachedReader{PipeReader: reader, start: sync.OnceFunc(func() {
+		group.Go(func(context.Context) {
+			_, err := io.Copy(writer, stream)
+			_ = writer.CloseWithError(err) // never fails; a nil error is io.EOF to the reader
+		})
+	})}
+}
+
+// Read reads from the stream. The first Read starts the goroutine, so that an
+// unused body is not read.
+func (d *detachedReader) Read(p []byte) (int, error) {
+	d.start()
+	return d.PipeReader.Read(p)
+}
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -1,7 +1,9 @@
 package qhproxy
 
 import (
+	"cmp"
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -88,12 +90,16 @@
 		p.finishWithFailure(w, notExecuted(qhdecision.Busy, http.StatusServiceUnavailable, defaultRetryAfter, "this node has too many calls in flight; use another one"), c.newDecision())
 		return
 	}
+	bodyComes := r.Header.Get("Expect") == "" // or else the caller waits to be asked
 	deadline, f := c.prepare(w)
 	if f != nil {
 		if c.request.Close {
 			w.Header().Set("Connection", "close")
 		}
 		p.finishWithFailure(w, f, c.newDecision())
+		if bodyComes {
+			drainBody(w, r, r.Body)
+		}
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
@@ -106,6 +112,34 @@
 		f = resp.bufferBody()
 	}
 	c.writeResult(w, resp, f, start)
+	if bodyComes && c.body.stream != nil {
+		drainBody(w, r, c.body.remainder())
+	}
+}
+
+const (
+	// maxDrainedBody bounds the bytes of a request body that are read after the
+	// response. The connection of a caller that sends more is reset.
+	maxDrainedBody = 1 << 20
+	// maxBodyDrain bounds how long they are read.
+	maxBodyDrain = time.Second
+)
+
+// drainBody reads rest, the rest of the request body, after the response was written.
+// Otherwise a connection that is closed after the response is reset while the
+// caller still sends, and the caller loses the response.
+func drainBody(w http.ResponseWriter, r *http.Request, rest io.Reader) {
+	if r.ProtoMajor != 1 || r.ContentLength == 0 || rest == nil {
+		return
+	}
+	controller := http.NewResponseController(w)
+	if controller.Flush() != nil {
+		return // the caller is gone
+	}
+	_ = controller.SetReadDeadline(time.Now().Add(maxBodyDrain)) // without read deadlines, the size bounds it
+	if _, err := io.CopyN(io.Discard, rest, maxDrainedBody); err != io.EOF {
+		panic(http.ErrAbortHandler) // closes the connection, as net/http cannot continue after an unread body in full duplex
+	}
 }
 
 // writeResult writes the response or the failure of the call to the caller.
@@ -191,10 +225,7 @@
 
 // readBody limits the size of the body and reads a small one completely.
 func (c *call) readBody(w http.ResponseWriter, deadline time.Time) *failure {
-	limit := int64(c.proxy.Settings.MaxBodyBytes)
-	if c.route.MaxBodyBytes > 0 {
-		limit = int64(c.route.MaxBodyBytes)
-	}
+	limit := int64(cmp.Or(c.route.MaxBodyBytes, c.snapshot.Config.Limits.MaxBodyBytes, c.proxy.Settings.MaxBodyBytes))
 	if c.request.ContentLength > limit {
 		return notExecuted(qhdecision.TooLarge, http.StatusRequestEntityTooLarge, 0, "the request body is larger than the route allows")
 	}
@@ -212,6 +243,7 @@
 	if body.stream != nil && c.request.ProtoMajor == 1 {
 		_ = controller.EnableFullDuplex() // the target may respond before the whole body was sent
 	}
+	body.group = c.proxy.group
 	c.body = body
 	return nil
 }
--- a/qhproxy/conn.go
+++ b/qhproxy/conn.go
@@ -129,6 +129,9 @@
 			defer c.mu.Unlock()
 			return 0, c.readErr
 		}
+		if c.readDone == nil && len(p) > readBufferSize && c.splitter.remaining >= len(p) {
+			return c.readBody(p)
+		}
 		if c.readDone == nil {
 			if err := c.fill(); err != nil {
 				return 0, err
@@ -177,6 +180,26 @@
 	return err
 }
 
+// readBody reads a part of a request body from the network into p, without the
+// buffer. Nothing may be buffered, and p must not exceed the rest of the request.
+// c.mu must be held; readBody releases it.
+func (c *callerConn) readBody(p []byte) (int, error) {
+	readDone := make(chan struct{})
+	c.readDone = readDone
+	c.mu.Unlock()
+	n, err := c.Conn.Read(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readDone = nil
+	close(readDone)
+	c.splitter.consume(n)
+	c.partialHead = nil
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.setReadError(err)
+	}
+	return n, err
+}
+
 // appendRead adds received data to buffered. c.mu must be held.
 func (c *callerConn) appendRead(data []byte) {
 	if len(c.buffered) == 0 {
@@ -186,6 +209,9 @@
 	if cap(c.buffered) > cap(c.spare) && cap(c.buffered) <= 2*readBufferSize {
 		c.spare = c.buffered
 	}
+	if inBody := c.splitter.remaining - (len(c.buffered) - len(data)); inBody > 0 {
+		data, c.partialHead = data[min(inBody, len(data)):], nil // a body has no heads
+	}
 	c.checkHeads(data)
 	c.startPipelinedCalls()
 }
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -274,6 +274,7 @@
 		return c.sendToNode(ctx, endpoint, out)
 	}
 	removeInternalHeaders(out.header)
+	delete(out.header, "Expect")
 	resp, f := c.proxy.sendToTarget(ctx, endpoint.ID, out)
 	qhbalance.RecordReportedLoad(endpoint, c.proxy.targetLoad(endpoint.ID), time.Now())
 	return resp, f
@@ -296,6 +297,11 @@
 		headerField{qhheader.Timeout, qhdeadline.Format(timeUntilDeadline(ctx))},
 	)
 	setAdmissionHeaders(out.header, out.admission)
+	if out.body.stream != nil {
+		// The node asks for the body once the call is admitted, so that a refused
+		// call can be sent to another one.
+		out.header["Expect"] = []string{"100-continue"}
+	}
 	resp, err := c.proxy.nodePool.RoundTrip(endpoint.CallAddress, out.newRequest(ctx, endpoint.CallAddress)) //nolint:bodyclose // forwardResponse closes it
 	if err != nil {
 		return nil, roundTripFailure(ctx, err)
