qhproxy: Keep pipelined requests behind one that the server reads ahead

Cause: the net/http server reads the first byte of the next request before it calls the handler of the current one, if that request has arrived by then. Ruled out: giving the server nothing of the next request until the handler runs: requests that it answers without the handler (OPTIONS *) would block the connection. Change: the head of the request that the server begins to read is kept, and its call is started, if it may run concurrently, before those behind it.

--- a/qhproxy/conn.go
+++ b/qhproxy/conn.go
@@ -48,6 +48,9 @@
 	ambiguousLength bool
 	// splitter finds the requests in buffered.
 	splitter requestSplitter
+	// startedHead is the head of the request that the server began to read last;
+	// empty if that request has a body.
+	startedHead []byte
 	// pipelined has the calls that were started before the server read their
 	// requests, in the order of the requests.
 	pipelined []*pipelinedCall
@@ -117,7 +120,11 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	for {
 		c.mu.Lock()
+		started := c.splitter.started
 		if n := c.readable(); n > 0 {
+			if c.splitter.started > started {
+				c.startedHead = append(c.startedHead[:0], c.splitter.bodylessHead(c.buffered)...)
+			}
 			n = copy(p, c.buffered[:n])
 			c.buffered = c.buffered[n:]
 			c.splitter.consume(n)
--- a/qhproxy/pipeline.go
+++ b/qhproxy/pipeline.go
@@ -139,7 +139,7 @@
 // startPipelinedCalls starts the calls of the requests after the current one,
 // while they may run concurrently with it. c.mu must be held.
 func (c *callerConn) startPipelinedCalls() {
-	for c.startCall != nil && c.cancelCall != nil && c.concurrent && len(c.pipelined) < maxPipelined {
+	for c.startCall != nil && c.cancelCall != nil && c.concurrent && len(c.pipelined) < maxPipelined && c.startNextRead() {
 		head, requestNumber := c.splitter.nextHead(c.buffered)
 		if head == nil {
 			return
@@ -155,6 +155,26 @@
 	}
 }
 
+// startNextRead starts the call of the request that the server reads ahead of its
+// handler, if there is one. It returns false if that call has to wait, and with it
+// those of the requests behind it. c.mu must be held.
+func (c *callerConn) startNextRead() bool {
+	number := c.splitter.started
+	if number <= c.served || len(c.pipelined) > 0 && c.pipelined[len(c.pipelined)-1].requestNumber >= number {
+		return true
+	}
+	if number > c.served+1 || len(c.startedHead) == 0 {
+		return false
+	}
+	pipelined := c.startCall(c.startedHead)
+	if pipelined == nil {
+		return false
+	}
+	pipelined.requestNumber = number
+	c.pipelined = append(c.pipelined, pipelined)
+	return true
+}
+
 // beginRequest records that the server has read a request, and returns its
 // pipelined call if one was started.
 func (c *callerConn) beginRequest(r *http.Request) *pipelinedCall {
--- a/qhproxy/splitter.go
+++ b/qhproxy/splitter.go
@@ -48,6 +48,15 @@
 	return min(s.remaining, len(buffered))
 }
 
+// bodylessHead returns the head of the request that just became readable, or nil if
+// the request has a body.
+func (s *requestSplitter) bodylessHead(buffered []byte) []byte {
+	if s.remaining > len(buffered) || bytes.Index(buffered, []byte(headTerminator))+len(headTerminator) != s.remaining {
+		return nil
+	}
+	return buffered[:s.remaining]
+}
+
 // consume records that n bytes were given to the server.
 func (s *requestSplitter) consume(n int) {
 	s.scanned = max(0, s.scanned-n)
