qhctl: Give the listing of a timed-out wait a second instead of 20 ms

The test was wrong, not the command: with no listing there is nothing else to say. The texts and exit codes that it compares are as before; the timeout that it passes is 1 s.

--- a/qhctl/qhcommand/qhcommand_test.go
+++ b/qhctl/qhcommand/qhcommand_test.go
@@ -221,13 +221,13 @@
 			"plan -f remove.jsonc", "status --polish", "history --output xml", "history --limit 0", "back zero", "back 7", "confirm",
 			"confirm p1", "confirm p1-0123456789ab", "explain", "explain 7", "explain p1-0123456789ab", "explain x --as cat",
 			"explain 5f0c62b1d9a3", "dump", "dump kigali-a-1", "members PLATFORM", "prune --keep 1", "history --platform kigali",
-			"status --wait --timeout 20ms --patience 1ms",
+			"status --wait --timeout 1s --patience 1ms",
 		} {
 			Expect(t.run(ctx, line)).NotTo(Equal(qherr.StatusOK), line)
 		}
 		t.run(ctx, "plan -f shift.jsonc")
 		t.fake.SetFaults(qhplatform.Faults{Down: true})
-		for _, line := range []string{"plan -f shift.jsonc", "confirm $2", "history", "explain 1", "status", "status --wait --timeout 20ms"} {
+		for _, line := range []string{"plan -f shift.jsonc", "confirm $2", "history", "explain 1", "status", "status --wait --timeout 1s"} {
 			Expect(t.run(ctx, line)).To(Equal(qherr.StatusFailed), line)
 		}
 		t.fake.SetFaults(qhplatform.Faults{})
