qhintake: Let large bodies wait for room on the link of the target's VM

Up to eight bodies were sent to a node at a time, so that about half a second of bytes waited on its link. Calls with 300 ms until their deadline, and new versions of the configuration, waited behind them. Ruled out: fewer slots, which would also delay calls without a body; other placing alone, since the zone with the most uploads has one target. A refused call has sent no body (the sender waits for 100 Continue) and is placed elsewhere.

--- a/qhnode/qhserve/node.go
+++ b/qhnode/qhserve/node.go
@@ -186,6 +186,7 @@
 		LocalService:  n.localService,
 		RetryBudgets:  n.retryBudgets(),
 		OnNodeVersion: n.onNodeVersion,
+		LinkSpeed:     n.Settings.Bounds.LinkSpeed,
 	})
 	n.proxy = proxy
 	cleanup.add(stopProxy)
--- a/qhproxy/body.go
+++ b/qhproxy/body.go
@@ -16,6 +16,10 @@
 // buffered, so that it can be sent again.
 const maxBufferedRequest = 64 << 10
 
+// minGatedBody is the size in bytes from which on a request body is sent to another
+// node only once that node asks for it.
+const minGatedBody = 8 << 10
+
 // bodyError is a failure to read the request body from the caller.
 type bodyError struct{ cause error }
 
--- a/qhproxy/fleet_test.go
+++ b/qhproxy/fleet_test.go
@@ -46,6 +46,8 @@
 	snapshot atomic.Pointer[qhhold.Snapshot]
 	view     atomic.Pointer[qhmember.View]
 	nodes    map[qhid.Node]*node
+	// linkSpeed is that of the nodes started next; 0 if unknown.
+	linkSpeed qhid.MegabitsPerSecond
 }
 
 func newFleet(t testing.TB, routes ...qhconfig.Route) *fleet {
@@ -74,7 +76,7 @@
 	n := &node{guards: guards, decisions: qhdecision.NewRing(f.settings.MaxDecisions), metrics: metrics.NewSet(), zone: zone}
 	proxy, closeProxy := New(Options{
 		Self: id, Zone: zone, Settings: f.settings, Decisions: n.decisions, Log: zap.NewNop(), Metrics: n.metrics, Store: f.store,
-		Snapshot: f.snapshot.Load, View: f.view.Load, LocalGuard: guards.Get,
+		Snapshot: f.snapshot.Load, View: f.view.Load, LocalGuard: guards.Get, LinkSpeed: f.linkSpeed,
 	})
 	n.proxy = proxy
 	n.callers, n.forwardedCalls = startServer(proxy.CallersServer(), proxy.CallersListener), startServer(proxy.NodesServer(), nil)
--- a/qhproxy/nodes.go
+++ b/qhproxy/nodes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -32,7 +33,13 @@
 	ctx, cancel := context.WithTimeout(r.Context(), remaining)
 	defer cancel()
 	p.reportNodeVersion(r.Header, d.Node)
-	resp, f := p.sendToTarget(ctx, d.Target, p.outgoingFromNode(r))
+	out := p.outgoingFromNode(r)
+	release, f := p.admitBody(ctx, out)
+	defer release()
+	var resp *targetResponse
+	if f == nil {
+		resp, f = p.sendToTarget(ctx, d.Target, out)
+	}
 	setVersionHeader(w.Header(), p.Snapshot())
 	w.Header().Set(qhheader.NodeLoad, strconv.Itoa(p.targetLoad(d.Target)))
 	if f != nil {
@@ -46,6 +53,40 @@
 	p.forwardResponse(w, resp, d)
 }
 
+// admitBody waits until the link has room for the body of the call. The returned
+// function ends the transfer and may be called at any time; the end of the body
+// ends it too.
+func (p *Proxy) admitBody(ctx context.Context, out *outgoingCall) (func(), *failure) {
+	size := qhid.Bytes(out.body.length)
+	if size < 0 {
+		size = maxBufferedRequest
+	}
+	if size <= minGatedBody {
+		return func() {}, nil
+	}
+	release, wait, ok := p.intake.Acquire(ctx, size, out.admission.MaxQueueWait)
+	if !ok {
+		return func() {}, notExecuted(qhdecision.Busy, http.StatusServiceUnavailable, wait, "the link of the target's VM has no room for the request body")
+	}
+	out.body.stream = &releasingReader{Reader: out.body.stream, release: release}
+	return release, nil
+}
+
+// releasingReader calls release when the body has been read.
+type releasingReader struct {
+	io.Reader
+	release func()
+}
+
+// Read reads from the body.
+func (r *releasingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil {
+		r.release()
+	}
+	return n, err
+}
+
 // outgoingFromNode builds the outgoing call from the headers that the sending
 // node set.
 func (p *Proxy) outgoingFromNode(r *http.Request) *outgoingCall {
--- a/qhproxy/proxy.go
+++ b/qhproxy/proxy.go
@@ -37,6 +37,7 @@
 	"quetzalhaven.dev/qhguard"
 	"quetzalhaven.dev/qhhold"
 	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhintake"
 	"quetzalhaven.dev/qhmember"
 	"quetzalhaven.dev/qhplatform"
 	"quetzalhaven.dev/qhretry"
@@ -73,6 +74,9 @@
 	// RetryBudgets bounds retries. If it is nil, the retry budget of the
 	// settings applies.
 	RetryBudgets *qhretry.Budgets
+	// LinkSpeed is the network bandwidth of the VM, which bounds the request bodies
+	// that other nodes send at a time; 0 if unknown.
+	LinkSpeed qhid.MegabitsPerSecond
 	// Random returns a random number in [0, n). nil means math/rand/v2.
 	Random func(n int) int
 }
@@ -83,6 +87,8 @@
 	balancer *qhbalance.Balancer
 	budgets  *qhretry.Budgets
 	nodePool *qhconn.NodePool
+	// intake admits the large request bodies of other nodes.
+	intake   *qhintake.Gate
 	counters *counters
 	// claims is nil if Store is nil.
 	claims  *qhclaim.Manager
@@ -124,6 +130,7 @@
 		balancer:    qhbalance.New(qhbalance.Options{Zone: options.Zone, SpillPercent: options.Settings.SpillPercent, Random: options.Random}),
 		budgets:     cmp.Or(options.RetryBudgets, qhretry.NewBudgets(options.Settings.RetryBudget)),
 		nodePool:    nodePool,
+		intake:      qhintake.New(options.LinkSpeed),
 		counters:    newCounters(options.Metrics),
 		baseContext: baseContext,
 		group:       group,
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -297,9 +297,9 @@
 		headerField{qhheader.Timeout, qhdeadline.Format(timeUntilDeadline(ctx))},
 	)
 	setAdmissionHeaders(out.header, out.admission)
-	if out.body.stream != nil {
-		// The node asks for the body once the call is admitted, so that a refused
-		// call can be sent to another one.
+	if out.body.length < 0 || out.body.length > minGatedBody {
+		// The node asks for the body once the call is admitted and its link has
+		// room, so that a refused call can be sent to another one.
 		out.header["Expect"] = []string{"100-continue"}
 	}
 	resp, err := c.proxy.nodePool.RoundTrip(endpoint.CallAddress, out.newRequest(ctx, endpoint.CallAddress)) //nolint:bodyclose // forwardResponse closes it
--- a/qhproxy/upload_test.go
+++ b/qhproxy/upload_test.go
@@ -344,3 +344,32 @@
 type zeroes struct{}
 
 func (zeroes) Read(p []byte) (int, error) { return len(p), nil }
+
+var _ = Describe("an upload to a VM with a slow link", func() {
+	It("is refused at once if the link has no room in time, without its body being sent", func() {
+		f := newFleet(GinkgoTB(), newRoute("charts", "/charts", "store", func(r *qhconfig.Route) {
+			r.LatencyObjective, r.Timeout = qhconfig.Duration(200*time.Millisecond), qhconfig.Duration(2*time.Second)
+		}))
+		caller := f.startNode("a", "pl-a")
+		f.linkSpeed = 1
+		f.startNode("b", "pl-b")
+		f.startTarget("t1", "store", "b", 4, digestHandler)
+		hold, _, ok := f.nodes["b"].proxy.intake.Acquire(context.Background(), 1<<20, time.Second)
+		Expect(ok).To(BeTrue())
+		defer hold()
+		var received atomic.Int64
+		defer newLink(f, "t1", &received)()
+		body := strings.Repeat("x", 50_000)
+		got := doCall(context.Background(), caller, "POST", "/charts/", "r1", strings.NewReader(body), func(r *http.Request) { r.Header.Set("Request-Timeout", "500") })
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header.Get(qhheader.Outcome)).To(Equal(qhheader.OutcomeNotExecuted))
+		Expect(got.header.Get(qhheader.RetryAfter)).NotTo(BeEmpty())
+		Expect(received.Load()).To(BeNumerically("<", len(body)/2))
+		hold()
+		got = doCall(context.Background(), caller, "POST", "/charts/", "r2", strings.NewReader(body))
+		Expect(got.body).To(Equal(digestOf(body)))
+		_, _, ok = f.nodes["b"].proxy.intake.Acquire(context.Background(), 1<<20, time.Millisecond)
+		Expect(ok).To(BeTrue(), "the transfer has ended")
+	})
+})
