--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -98,7 +99,7 @@
 		}
 		p.finishWithFailure(w, f, c.newDecision())
 		if bodyComes {
-			drainBody(w, r, r.Body)
+			discardBody(w, r, r.Body)
 		}
 		return
 	}
@@ -113,22 +114,22 @@
 	}
 	c.writeResult(w, resp, f, start)
 	if bodyComes && c.body.stream != nil {
-		drainBody(w, r, c.body.remainder())
+		discardBody(w, r, c.body.remainder())
 	}
 }
 
 const (
-	// maxDrainedBody bounds the bytes of a request body that are read after the
+	// maxDiscardedBody bounds the bytes of a request body that are read after the
 	// response. The connection of a caller that sends more is reset.
-	maxDrainedBody = 1 << 20
-	// maxBodyDrain bounds how long they are read.
-	maxBodyDrain = time.Second
+	maxDiscardedBody = 1 << 20
+	// maxDiscardTime bounds how long they are read.
+	maxDiscardTime = time.Second
 )
 
-// drainBody reads rest, the rest of the request body, after the response was written.
+// discardBody reads rest, the rest of the request body, after the response was written.
 // Otherwise a connection that is closed after the response is reset while the
 // caller still sends, and the caller loses the response.
-func drainBody(w http.ResponseWriter, r *http.Request, rest io.Reader) {
+func discardBody(w http.ResponseWriter, r *http.Request, rest io.Reader) {
 	if r.ProtoMajor != 1 || r.ContentLength == 0 || rest == nil {
 		return
 	}
@@ -136,8 +137,8 @@
 	if controller.Flush() != nil {
 		return // the caller is gone
 	}
-	_ = controller.SetReadDeadline(time.Now().Add(maxBodyDrain)) // without read deadlines, the size bounds it
-	if _, err := io.CopyN(io.Discard, rest, maxDrainedBody); err != io.EOF {
+	_ = controller.SetReadDeadline(time.Now().Add(maxDiscardTime)) // without read deadlines, the size bounds it
+	if _, err := io.CopyN(io.Discard, rest, maxDiscardedBody); !errors.Is(err, io.EOF) {
 		panic(http.ErrAbortHandler) // closes the connection, as net/http cannot continue after an unread body in full duplex
 	}
 }
