qhproxy: Make a test try the unresponsive target first

All calls had gone to the sound target, in 0.043 s. Cause: the choice between two equal targets is random and not seeded. A load of 1 that a target reports counts as 0 after a millisecond, so that on a slow machine each of the 8 calls takes the sound target with even odds. Change: the sound target has a load of 1, so that the first call tries the other one. What is checked is as before.

--- a/qhproxy/zone_test.go
+++ b/qhproxy/zone_test.go
@@ -85,6 +85,7 @@
 		f.startTarget("t1", "desk", "b", 9, respond)
 		f.startTarget("t2", "desk", "b", 9, func(_ http.ResponseWriter, r *http.Request) { executions.add(r) })
 		f.view.Load().Services["desk"][1].CallAddress = link.Address()
+		f.view.Load().Services["desk"][0].Stats.InFlight.Store(1) // so that the unresponsive one is chosen first
 		link.Pause()
 		for i := range 8 {
 			Expect(doCall(ctx, a, "GET", "/never", fmt.Sprint(i), nil).body).To(Equal("whole"))
