qhplatform, qhfeed: Log and count the era and the revision of the store's responses

The era was not read, and a revision stood only in the error of the first failed listing. A watcher logs 'objects listed' for each listing with its era, revision, the known revision and the reader, 'era of the store' when that changes, and has the gauges qh_store_era and qh_store_revision. No decision uses them yet. Run: go test ./qhplatform ./platform ./qhfeed passed; the new specs are of the era alone.

--- a/qhfeed/watcher.go
+++ b/qhfeed/watcher.go
@@ -59,6 +59,8 @@
 	cache *objectCache
 	// revision is the revision reached so far. Only run uses it.
 	revision qhplatform.Revision
+	// lastEra and lastRevision are those of the last response, for the metrics.
+	lastEra, lastRevision atomic.Uint64
 	// listed is set after the first listing.
 	listed atomic.Bool
 	// failing is set from a failed call to the store until the next successful
@@ -87,6 +89,8 @@
 
 func (f *Feed) newWatcher(name string, prefix qhplatform.Key, apply func([]qhplatform.Object, bool)) *watcher {
 	w := &watcher{feed: f, name: name, prefix: prefix, apply: apply, cache: newObjectCache(), restartWatch: make(chan struct{}, 1)}
+	f.Metrics.NewGauge(`qh_store_era{what="`+name+`"}`, func() float64 { return float64(w.lastEra.Load()) })
+	f.Metrics.NewGauge(`qh_store_revision{what="`+name+`"}`, func() float64 { return float64(w.lastRevision.Load()) })
 	f.Metrics.NewGauge(`qh_store_followed{what="`+name+`"}`, func() float64 {
 		if w.healthy() {
 			return 1
@@ -113,6 +117,9 @@
 		source := w.nextSource()
 		start := time.Now()
 		listing, err := source.list(ctx)
+		if err == nil {
+			w.logListing(source, listing)
+		}
 		if err == nil && listing.Revision < w.revision {
 			err = qherr.New(qherr.Unavailable, nil, "the node retries with another reader or the store", "the listing has revision %d, older than the known revision %d", listing.Revision, w.revision)
 		}
@@ -155,6 +162,7 @@
 		}
 		backoff.reset()
 		w.recordResponse(source)
+		w.recordPosition(source, changes.Era, changes.Revision)
 		w.cache.add(changes)
 		w.revision = max(w.revision, changes.Revision)
 		if len(changes.Objects) > 0 {
@@ -230,6 +238,27 @@
 	}
 }
 
+// logListing logs the position of a listing beside the known revision.
+func (w *watcher) logListing(source watchSource, listing qhplatform.Listing) {
+	w.feed.Log.Info("objects listed", zap.String("what", w.name), zap.String("reader", string(source.reader.Node)),
+		zap.Uint64("era", uint64(listing.Era)), zap.Uint64("revision", uint64(listing.Revision)),
+		zap.Uint64("known", uint64(w.revision)), zap.Int("objects", len(listing.Objects)))
+	w.recordPosition(source, listing.Era, listing.Revision)
+}
+
+// recordPosition records the era and the revision of a response, and logs a new
+// era.
+func (w *watcher) recordPosition(source watchSource, era qhplatform.Era, revision qhplatform.Revision) {
+	w.lastRevision.Store(uint64(revision))
+	if era == 0 {
+		return
+	}
+	if last := w.lastEra.Swap(uint64(era)); last != uint64(era) {
+		w.feed.Log.Info("era of the store", zap.String("what", w.name), zap.String("reader", string(source.reader.Node)),
+			zap.Uint64("era", uint64(era)), zap.Uint64("before", last), zap.Uint64("revision", uint64(revision)), zap.Uint64("known", uint64(w.revision)))
+	}
+}
+
 // recordFailure records a failed call. A reader that failed is skipped for
 // readerSkipTime; the store is called again after the backoff.
 func (w *watcher) recordFailure(ctx context.Context, source watchSource, err error, backoff *retryBackoff) {
--- a/qhplatform/codec.go
+++ b/qhplatform/codec.go
@@ -49,6 +49,9 @@
 	DecodeListing func(prefix Key, body []byte) (Listing, error)
 	// DecodeChanges decodes the response to a watch of a prefix.
 	DecodeChanges func(prefix Key, body []byte) (Changes, error)
+	// DecodeEra returns the era of the store that the headers of a response name, or
+	// 0 if they name none.
+	DecodeEra func(header http.Header) (Era, error)
 	// DecodeError returns the error for a response with a status other than 2xx, of
 	// the kinds that Store documents.
 	DecodeError func(call Call, status int, body []byte) error
@@ -61,6 +64,7 @@
 		DecodeObject:  func(_ Key, body []byte) (Object, error) { return decodeJSON[Object](body) },
 		DecodeListing: func(_ Key, body []byte) (Listing, error) { return decodeJSON[Listing](body) },
 		DecodeChanges: func(_ Key, body []byte) (Changes, error) { return decodeJSON[Changes](body) },
+		DecodeEra:     func(header http.Header) (Era, error) { return ParseEra(header.Get(headerEra)) },
 		DecodeError:   decodeError,
 	}
 }
@@ -85,6 +89,19 @@
 	return encoded
 }
 
+// ParseEra parses the era in a header of a response; an empty text is era 0. Errors
+// are of kind BadInput.
+func ParseEra(text string) (Era, error) {
+	if text == "" {
+		return 0, nil
+	}
+	era, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, qherr.New(qherr.BadInput, err, "send a whole number", "%q is not an era", text)
+	}
+	return Era(era), nil
+}
+
 func (r *Request) setWatch(call Call) {
 	r.Query.Set("watch", strconv.FormatUint(uint64(call.Revision), 10))
 	r.Query.Set("wait", call.Wait.String())
--- a/qhplatform/fake.go
+++ b/qhplatform/fake.go
@@ -37,6 +37,8 @@
 	// revision is the revision of the last write of any object, so that an object
 	// that was deleted and created again has a greater revision than before.
 	revision Revision
+	// era is 1 until the first restore.
+	era Era
 	// history has the last states of each object, the latest last. A nil value
 	// stands for a deleted object.
 	history       map[Key][]Object
@@ -57,6 +59,7 @@
 	}
 	return &Fake{
 		watchTimeout: opts.WatchTimeout,
+		era:          1,
 		history:      make(map[Key][]Object),
 		limiter:      rate.NewLimiter(rate.Inf, 1),
 		counts:       Counts{Calls: make(map[Operation]int)},
@@ -102,6 +105,13 @@
 	return f.faults
 }
 
+// Era returns the era of the fake platform.
+func (f *Fake) Era() Era {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
+}
+
 // Counts returns the totals of all calls so far.
 func (f *Fake) Counts() Counts {
 	f.mu.Lock()
--- a/qhplatform/fake_watch.go
+++ b/qhplatform/fake_watch.go
@@ -28,10 +28,11 @@
 
 func (f *Fake) listAt(ctx context.Context, prefix Key) (Listing, error) {
 	f.mu.Lock()
-	revision := f.revision // read before the list, so that WatchPrefix returns a concurrent write too
+	listing := Listing{Revision: f.revision, Era: f.era} // read before the list, so that WatchPrefix returns a concurrent write too
 	f.mu.Unlock()
 	objects, err := f.list(ctx, prefix)
-	return Listing{Objects: objects, Revision: revision}, err
+	listing.Objects = objects
+	return listing, err
 }
 
 // watchPrefix returns the changes after a revision, or none after the limit.
@@ -64,12 +65,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.faults.SilentWatches && f.faults.matches(prefix) {
-		return Changes{Revision: after}, nil, nil
+		return Changes{Revision: after, Era: f.era}, nil, nil
 	}
 	if after < f.compactedTo {
 		return Changes{}, nil, qherr.New(qherr.Conflict, nil, "list it again", "the history of %s after revision %d was compacted", prefix, after)
 	}
-	changes := Changes{Revision: f.revision}
+	changes := Changes{Revision: f.revision, Era: f.era}
 	for key, writes := range f.history {
 		last := writes[len(writes)-1]
 		if last.Revision > after && strings.HasPrefix(string(key), string(prefix)) {
--- a/qhplatform/handler.go
+++ b/qhplatform/handler.go
@@ -19,6 +19,9 @@
 	countsPath  = "/v1/counts"
 )
 
+// headerEra is the header of all responses that names the era of the platform.
+const headerEra = "Era"
+
 // maxFaultsSize bounds the body that sets the faults, in bytes.
 const maxFaultsSize = 4096
 
@@ -58,7 +61,10 @@
 	mux.HandleFunc("GET "+faultsPath, h.faults)
 	mux.HandleFunc("PUT "+faultsPath, h.setFaults)
 	mux.HandleFunc("GET "+countsPath, h.counts)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerEra, strconv.FormatUint(uint64(fake.Era()), 10))
+		mux.ServeHTTP(w, r)
+	})
 }
 
 func (h *handler) list(w http.ResponseWriter, r *http.Request) {
--- a/qhplatform/http.go
+++ b/qhplatform/http.go
@@ -155,11 +155,11 @@
 
 func (c *client) get(ctx context.Context, key Key) (Object, error) {
 	return retry(ctx, c, func() (Object, error) {
-		body, err := c.call(ctx, Call{Op: OpGet, Key: key})
+		response, err := c.call(ctx, Call{Op: OpGet, Key: key})
 		if err != nil {
 			return Object{}, err
 		}
-		return checkDecoded(c.Codec.DecodeObject(key, body))
+		return checkDecoded(c.Codec.DecodeObject(key, response.body))
 	})
 }
 
@@ -174,17 +174,19 @@
 	var listing Listing
 	for after := Key(""); ; {
 		page, err := retry(ctx, c, func() (Listing, error) {
-			body, err := c.call(ctx, Call{Op: OpList, Key: prefix, After: after})
+			response, err := c.call(ctx, Call{Op: OpList, Key: prefix, After: after})
 			if err != nil {
 				return Listing{}, err
 			}
-			return checkDecoded(c.Codec.DecodeListing(prefix, body))
+			page, err := c.Codec.DecodeListing(prefix, response.body)
+			page.Era = response.era
+			return checkDecoded(page, err)
 		})
 		if err != nil {
 			return Listing{}, err
 		}
 		if after == "" {
-			listing.Revision = page.Revision
+			listing.Revision, listing.Era = page.Revision, page.Era
 		}
 		listing.Objects = append(listing.Objects, page.Objects...)
 		if page.ContinueAfter == "" || page.ContinueAfter == after {
@@ -211,11 +213,11 @@
 	if err := checkValue(call.Key, call.Value); err != nil {
 		return 0, err
 	}
-	body, err := c.call(ctx, call)
+	response, err := c.call(ctx, call)
 	if err != nil {
 		return 0, err
 	}
-	object, err := c.Codec.DecodeObject(call.Key, body)
+	object, err := c.Codec.DecodeObject(call.Key, response.body)
 	if err != nil {
 		return 0, lostResponseError(err, call.Op, call.Key)
 	}
@@ -224,11 +226,11 @@
 
 // watchObject makes one call. Its caller repeats it after NotFound.
 func (c *client) watchObject(ctx context.Context, key Key, after Revision) (Object, error) {
-	body, err := c.call(ctx, Call{Op: OpWatchObject, Key: key, Revision: after, Wait: c.WatchTimeout})
+	response, err := c.call(ctx, Call{Op: OpWatchObject, Key: key, Revision: after, Wait: c.WatchTimeout})
 	if err != nil {
 		return Object{}, err
 	}
-	object, err := checkDecoded(c.Codec.DecodeObject(key, body))
+	object, err := checkDecoded(c.Codec.DecodeObject(key, response.body))
 	if err == nil && object.Revision <= after {
 		return Object{}, notChangedError(key, after)
 	}
@@ -236,9 +238,11 @@
 }
 
 func (c *client) watchPrefix(ctx context.Context, prefix Key, after Revision, wait time.Duration) (Changes, error) {
-	body, err := c.call(ctx, Call{Op: OpWatchPrefix, Key: prefix, Revision: after, Wait: orDefault(wait, c.WatchTimeout)})
+	response, err := c.call(ctx, Call{Op: OpWatchPrefix, Key: prefix, Revision: after, Wait: orDefault(wait, c.WatchTimeout)})
 	if err != nil {
 		return Changes{}, err
 	}
-	return checkDecoded(c.Codec.DecodeChanges(prefix, body))
+	changes, err := c.Codec.DecodeChanges(prefix, response.body)
+	changes.Era = response.era
+	return checkDecoded(changes, err)
 }
--- a/qhplatform/http_call.go
+++ b/qhplatform/http_call.go
@@ -59,8 +59,14 @@
 	return value, nil
 }
 
-// call makes one attempt and returns the body of the response.
-func (c *client) call(ctx context.Context, call Call) ([]byte, error) {
+// rawResponse is a successful response of the platform.
+type rawResponse struct {
+	body []byte
+	era  Era
+}
+
+// call makes one attempt and returns the response.
+func (c *client) call(ctx context.Context, call Call) (rawResponse, error) {
 	timeout, httpClient := c.Timeout, c.calls
 	switch {
 	case call.Op.isWatch():
@@ -71,36 +77,46 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	start := time.Now()
-	body, err := c.attempt(ctx, httpClient, call)
-	c.measure(call, start, body, err)
-	return body, err
+	resp, err := c.attempt(ctx, httpClient, call)
+	c.measure(call, start, resp.body, err)
+	return resp, err
 }
 
-func (c *client) attempt(ctx context.Context, httpClient *http.Client, call Call) ([]byte, error) {
+func (c *client) attempt(ctx context.Context, httpClient *http.Client, call Call) (rawResponse, error) {
 	sent := new(atomic.Bool)
 	request, err := c.buildRequest(ctx, call, sent)
 	if err != nil {
-		return nil, err
+		return rawResponse{}, err
 	}
 	if err := c.waitForLimits(ctx, call); err != nil {
-		return nil, qherr.New(qherr.Unavailable, err, "wait before the next call",
+		return rawResponse{}, qherr.New(qherr.Unavailable, err, "wait before the next call",
 			"%s %s was not sent: the client's rate limit for the platform is reached", call.Op, call.Key)
 	}
 	c.addToCounter("qh_platform_calls_total", call.Op, 1)
 	resp, err := httpClient.Do(request)
 	if err != nil {
 		httpClient.CloseIdleConnections()
-		return nil, c.noResponseError(call, sent.Load(), err)
+		return rawResponse{}, c.noResponseError(call, sent.Load(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(maxResponseSize)+1))
 	if err != nil {
-		return nil, c.noResponseError(call, true, err)
+		return rawResponse{}, c.noResponseError(call, true, err)
+	}
+	if resp.StatusCode/100 != 2 {
+		return rawResponse{}, c.Codec.DecodeError(call, resp.StatusCode, body)
 	}
-	if resp.StatusCode/100 == 2 {
-		return body, nil
+	return rawResponse{body: body, era: c.decodeEra(call, resp.Header)}, nil
+}
+
+// decodeEra returns the era of a response, or 0 if its header is missing or
+// malformed.
+func (c *client) decodeEra(call Call, header http.Header) Era {
+	era, err := c.Codec.DecodeEra(header)
+	if err != nil {
+		c.Log.Warn("era of the store cannot be decoded; the response counts as one without it", zap.String("op", string(call.Op)), zap.Error(err))
 	}
-	return nil, c.Codec.DecodeError(call, resp.StatusCode, body)
+	return era
 }
 
 func (c *client) isBulk(key Key) bool {
--- a/qhplatform/http_test.go
+++ b/qhplatform/http_test.go
@@ -36,6 +36,26 @@
 		return store
 	}
 
+	DescribeTable("returns the era of responses, or 0 if it is missing or malformed", func(header string, era int) {
+		fake := qhplatform.NewFake(qhplatform.FakeOptions{})
+		handler := qhplatform.NewHandler(fake)
+		store := connect(qhplatform.HTTPOptions{}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			recorder := httptest.NewRecorder()
+			handler.ServeHTTP(recorder, r)
+			w.Header().Set("Content-Type", "application/json")
+			if header != "" {
+				w.Header().Set("Era", header)
+			}
+			_, _ = w.Write(recorder.Body.Bytes())
+		}))
+		listing, err := store.ListAt(ctx, "k/")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(listing.Era).To(BeEquivalentTo(era))
+		changes, err := store.WatchPrefix(ctx, "k/", 0, time.Millisecond)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(changes.Era).To(BeEquivalentTo(era))
+	}, Entry("named", "3", 3), Entry("missing", "", 0), Entry("malformed", "x", 0))
+
 	It("reports a refused connection as Unavailable, even for a write", func() {
 		server := httptest.NewServer(http.NotFoundHandler())
 		server.Close()
--- a/qhplatform/store.go
+++ b/qhplatform/store.go
@@ -20,6 +20,12 @@
 // object.
 type Revision uint64
 
+// Era counts the times that a store was restored from a copy. A restore takes back
+// the writes since the copy, acknowledged or not, and their revisions are assigned
+// again, so that revisions of different eras cannot be compared. 0 stands for a
+// store that does not tell its era.
+type Era uint64
+
 // MaxValueSize is the size of the largest value that the platform stores.
 const MaxValueSize qhid.Bytes = 1 << 20
 
@@ -36,6 +42,8 @@
 	Objects []Object `json:"objects"`
 	// Revision is the revision of the store. WatchPrefix continues from it.
 	Revision Revision `json:"at"`
+	// Era is the era of Revision.
+	Era Era `json:"-"`
 	// ContinueAfter is the last key of this page if there are more pages, else
 	// empty.
 	ContinueAfter Key `json:"-"`
@@ -48,6 +56,8 @@
 	Objects []Object `json:"objects"`
 	// Revision is the revision from which the next WatchPrefix continues.
 	Revision Revision `json:"at"`
+	// Era is the era of Revision.
+	Era Era `json:"-"`
 }
 
 // Store is the platform's object API. Errors are of these kinds of qherr: NotFound,
