--- a/qhplatform/fake_watch.go
+++ b/qhplatform/fake_watch.go
@@ -67,8 +67,8 @@
 	if f.faults.SilentWatches && f.faults.matches(prefix) {
 		return Changes{Revision: after, Era: f.era}, nil, nil
 	}
-	if after < f.compactedTo {
-		return Changes{}, nil, qherr.New(qherr.Conflict, nil, "list it again", "the history of %s after revision %d was compacted", prefix, after)
+	if after < f.compactedTo || after > f.revision {
+		return Changes{}, nil, qherr.New(qherr.Conflict, nil, "list it again", "the platform does not have the history of %s after revision %d", prefix, after)
 	}
 	changes := Changes{Revision: f.revision, Era: f.era}
 	for key, writes := range f.history {
