qhfeed: Follow a store that was restored from a copy

Callers saw: routes refused as an older version says, for good, on every node that ran through a restore of the store; a node started afterwards was right. Cause: a watcher compares revisions across a restore, although they are assigned again. (1) Each listing of the restored store has a lower revision than the known one, was taken for a stale answer and thrown away, until the store had made as many writes as were lost. (2) Once it had, the store accepts a watch from the old revision and the changes between the copy and that revision are never delivered. (3) A reader kept the object with the higher revision, and packed differences from a value that another era gave the same revision. A later era voids all known objects and revisions: the next listing replaces them, the other watch and the other readers are told, clients of a reader list again, and a reader that is behind in era is skipped. Where no era is told, a lower revision from the store itself is a restore, because its responses are linearizable. A node that is told of a new era lists instead of watching, and the first watch after a failed call does not wait, since a held watch would not tell the era. Pages of different eras are not joined. Why it works: no decision compares revisions of two eras any more. The version in force is still only replaced by a newer one. Ruled out: Holder, which keeps version 5 and takes 7 as soon as it is offered. 'lists again if another reader reports a new era' fails without the check of the known era.

--- a/qhfeed/object_cache.go
+++ b/qhfeed/object_cache.go
@@ -16,8 +16,8 @@
 	// objects has the latest state of each object. A deleted object has a nil
 	// value.
 	objects map[qhplatform.Key]*cachedObject
-	// revision is the revision of the whole set.
-	revision qhplatform.Revision
+	// position is that of the whole set.
+	position position
 	// historyStart is the oldest revision from which all later changes are known.
 	historyStart qhplatform.Revision
 	// changed is closed and replaced at each change.
@@ -37,29 +37,32 @@
 	return &objectCache{objects: make(map[qhplatform.Key]*cachedObject), changed: make(chan struct{})}
 }
 
-// replace sets the objects to those of a listing. Objects that are not listed are
-// dropped.
-func (c *objectCache) replace(listing qhplatform.Listing) {
+// replace sets the objects to those of a listing at the given position. Objects that
+// are not listed are dropped, and all known ones if the store was restored.
+func (c *objectCache) replace(objects []qhplatform.Object, at position, restored bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	previous := c.objects
-	c.objects = make(map[qhplatform.Key]*cachedObject, len(listing.Objects))
-	for _, object := range listing.Objects {
+	if restored {
+		previous = nil
+	}
+	c.objects = make(map[qhplatform.Key]*cachedObject, len(objects))
+	for _, object := range objects {
 		c.put(previous[object.Key], object)
 	}
-	c.revision, c.historyStart = listing.Revision, listing.Revision
+	c.position, c.historyStart = at, at.revision
 	c.notifyLocked()
 }
 
-// add applies changes that follow the current revision.
-func (c *objectCache) add(changes qhplatform.Changes) {
+// add applies changes up to the given position, which follows the current one.
+func (c *objectCache) add(objects []qhplatform.Object, at position) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, object := range changes.Objects {
+	for _, object := range objects {
 		c.put(c.objects[object.Key], object)
 	}
-	c.revision = max(c.revision, changes.Revision)
-	if len(changes.Objects) > 0 {
+	c.position = at
+	if len(objects) > 0 {
 		c.notifyLocked()
 	}
 }
@@ -88,23 +91,23 @@
 	c.notifyLocked()
 }
 
-// since returns the objects changed after a revision, in the order of their
-// revisions, the current revision, and a channel that is closed at the next change.
+// since returns the objects changed after a position, in the order of their
+// revisions, the current position, and a channel that is closed at the next change.
 // After revision 0 it returns all objects that exist. It returns false if the
-// history since the revision is not known.
-func (c *objectCache) since(after qhplatform.Revision) (changes []*cachedObject, revision qhplatform.Revision, changed <-chan struct{}, ok bool) {
+// history since the position is not known.
+func (c *objectCache) since(after position) (changes []*cachedObject, at position, changed <-chan struct{}, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if after != 0 && after < c.historyStart {
-		return nil, 0, nil, false
+	if after.revision != 0 && (after.revision < c.historyStart || after.compareEra(c.position.era) != follows) {
+		return nil, c.position, nil, false
 	}
 	for _, object := range c.objects {
-		if object.Revision > after && (after != 0 || object.Value != nil) {
+		if object.Revision > after.revision && (after.revision != 0 || object.Value != nil) {
 			changes = append(changes, object)
 		}
 	}
 	slices.SortFunc(changes, func(a, b *cachedObject) int { return cmp.Compare(a.Revision, b.Revision) })
-	return changes, max(c.revision, after), c.changed, true
+	return changes, position{era: c.position.era, revision: max(c.position.revision, after.revision)}, c.changed, true
 }
 
 // get returns the object if it is at the given revision, else false.
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -82,6 +82,8 @@
 	hasLeft bool
 	// announced is set by the first Announce.
 	announced bool
+	// reportedEra is the latest era of the store that another reader reported.
+	reportedEra atomic.Uint64
 	// reportedVersion is the newest version that was passed to ReportVersion and
 	// that this node has received or is still waiting for.
 	reportedVersion atomic.Uint64
--- a/qhfeed/reader.go
+++ b/qhfeed/reader.go
@@ -12,6 +12,7 @@
 
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmember"
+	"quetzalhaven.dev/qhplatform"
 )
 
 const (
@@ -118,16 +119,35 @@
 	noticeTimeout = 500 * time.Millisecond
 )
 
-// versionNotice tells a node which version the sender has in force. A reader sends
-// it to the other readers when their watches may have missed a version. Version 0
-// has no effect, so that it serves as a probe.
+// versionNotice tells a node which version the sender has in force, in which era of
+// the store. A reader sends it to the other readers when their watches may have
+// missed a version or a restore of the store. Version 0 of era 0 has no effect, so
+// that it serves as a probe.
 type versionNotice struct {
 	Version qhid.Version `json:"v"`
+	// Era is the era of the store as far as the sender knows; 0 if it is unknown.
+	Era qhplatform.Era `json:"e,omitempty"`
+}
+
+// knownEra returns the latest era of the store that a watcher or another reader
+// knows.
+func (f *Feed) knownEra() qhplatform.Era {
+	return qhplatform.Era(max(f.config.era.Load(), f.nodes.era.Load(), f.reportedEra.Load()))
+}
+
+// reportEra records an era that another reader knows.
+func (f *Feed) reportEra(era qhplatform.Era) {
+	for last := f.reportedEra.Load(); uint64(era) > last; last = f.reportedEra.Load() {
+		if f.reportedEra.CompareAndSwap(last, uint64(era)) {
+			return
+		}
+	}
 }
 
 // notifyReaders sends the version in force to the other readers of all zones. It is
 // called when a listing and not a watch returned the version, as happens after the
-// store compacted its history: the watches of the others may have missed it too.
+// store compacted its history or was restored: the watches of the others may have
+// missed it too.
 func (f *Feed) notifyReaders(ctx context.Context) {
 	self, entries := f.Members.Self(), f.Members.View().Entries
 	for _, zone := range distinctZones(entries) {
@@ -142,7 +162,7 @@
 func (f *Feed) notifyReader(ctx context.Context, reader qhmember.Entry) {
 	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
 	defer cancel()
-	if _, err := post[struct{}](ctx, f.client, reader.PeerAddress, noticePath, versionNotice{Version: f.Holder.Version()}); err != nil {
+	if _, err := post[struct{}](ctx, f.client, reader.PeerAddress, noticePath, versionNotice{Version: f.Holder.Version(), Era: f.knownEra()}); err != nil {
 		f.Log.Info("cannot notify reader of newer version; it will learn the version from calls", zap.String("member", string(reader.Node)), zap.Error(err))
 	}
 }
@@ -153,8 +173,10 @@
 	if !ok {
 		return
 	}
-	if own := f.Holder.Version(); notice.Version > own {
-		f.Log.Info("configuration version behind another reader", zap.Uint64("version", uint64(notice.Version)), zap.Uint64("held", uint64(own)))
+	if own, era := f.Holder.Version(), f.knownEra(); notice.Version > own || notice.Era > era {
+		f.Log.Info("configuration version or era behind another reader", zap.Uint64("version", uint64(notice.Version)), zap.Uint64("held", uint64(own)),
+			zap.Uint64("era", uint64(notice.Era)), zap.Uint64("known_era", uint64(era)))
+		f.reportEra(notice.Era)
 		f.restartWatches(nil)
 	}
 	w.WriteHeader(http.StatusNoContent)
--- a/qhfeed/restore_test.go
+++ b/qhfeed/restore_test.go
@@ -111,6 +111,26 @@
 		haveVersion(n, 7)
 	})
 
+	It("lists again if another reader reports a new era while its watch is held", func() {
+		held := store
+		held.WatchPrefix = func(ctx context.Context, _ qhplatform.Key, _ qhplatform.Revision, _ time.Duration) (qhplatform.Changes, error) {
+			<-ctx.Done()
+			return qhplatform.Changes{}, errCutOff
+		}
+		a, b := startNode("a", store), startNode("b", held)
+		a.announce("ta")
+		haveVersion(b, 3)
+		haveVersion(a, 3)
+		fake.Restore(fake.Backup())
+		writeConfig(store, 7)
+		haveVersion(a, 7)
+		Expect(a.feed.knownEra()).To(BeEquivalentTo(2))
+		response, err := post[struct{}](context.Background(), a.feed.client, b.members.Self().PeerAddress, noticePath, versionNotice{Era: 2})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(response).To(BeZero())
+		haveVersion(b, 7)
+	})
+
 	It("reaches the clients of its readers", func() {
 		zone := newTestZone(minReaders+3, store)
 		Eventually(zone.nodes[minReaders].feed.config.watchesStore.Load).WithTimeout(eventuallyTimeout).Should(BeFalse())
@@ -124,3 +144,39 @@
 		Eventually(zone.versions).WithTimeout(eventuallyTimeout).Should(HaveEach(BeEquivalentTo(7)))
 	})
 })
+
+var _ = Describe("a position in the history of a store", func() {
+	const fromStore, fromReader = true, false
+	DescribeTable("tells how a listing relates to it", func(known, next position, source bool, expected succession) {
+		Expect(known.compareListing(next, source)).To(Equal(expected))
+	},
+		Entry("a higher revision", position{1, 5}, position{1, 9}, fromReader, follows),
+		Entry("a lower revision of the same era", position{1, 5}, position{1, 4}, fromStore, precedes),
+		Entry("a later era, whatever the revision", position{1, 5}, position{2, 9}, fromReader, restored),
+		Entry("an earlier era, whatever the revision", position{2, 5}, position{1, 9}, fromStore, precedes),
+		Entry("a lower revision of the store without an era", position{0, 5}, position{0, 4}, fromStore, restored),
+		Entry("a lower revision of a reader without an era", position{0, 5}, position{0, 4}, fromReader, precedes),
+		Entry("a lower revision of the store in a response without the era", position{1, 5}, position{0, 4}, fromStore, restored),
+		Entry("a higher revision in a response without the era", position{1, 5}, position{0, 9}, fromStore, follows),
+		Entry("the first listing", position{}, position{3, 9}, fromStore, follows),
+	)
+})
+
+var _ = Describe("an object cache of a restored store", func() {
+	It("drops the objects of the earlier era and knows no history for its clients", func() {
+		c := newObjectCache()
+		c.replace([]qhplatform.Object{{Key: "k/a", Revision: 8, Value: []byte("old")}}, position{1, 9}, false)
+		c.replace([]qhplatform.Object{{Key: "k/a", Revision: 3, Value: []byte("copy")}}, position{2, 4}, true)
+		changes, at, _, ok := c.since(position{era: 2})
+		Expect(ok).To(BeTrue())
+		Expect(at).To(Equal(position{2, 4}))
+		Expect(changes).To(HaveLen(1))
+		Expect(changes[0].Value).To(Equal([]byte("copy")))
+		_, base, err := c.packedFor(changes[0], 8)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(base).To(BeZero())
+		_, at, _, ok = c.since(position{1, 9})
+		Expect(ok).To(BeFalse())
+		Expect(at.era).To(BeEquivalentTo(2))
+	})
+})
--- a/qhfeed/serve_watch.go
+++ b/qhfeed/serve_watch.go
@@ -42,7 +42,7 @@
 	wait time.Duration
 	// list and watch read and watch the watcher's prefix at the source.
 	list  func(ctx context.Context) (qhplatform.Listing, error)
-	watch func(ctx context.Context, after qhplatform.Revision, wait time.Duration) (qhplatform.Changes, error)
+	watch func(ctx context.Context, after position, wait time.Duration) (qhplatform.Changes, error)
 }
 
 // nextSource returns the source to use for the next call. Before the first listing
@@ -54,7 +54,7 @@
 			reader: reader,
 			wait:   time.Duration(readerWaitShare * float64(feed.ConvergenceLimit)),
 			list:   func(ctx context.Context) (qhplatform.Listing, error) { return w.listViaReader(ctx, reader) },
-			watch: func(ctx context.Context, after qhplatform.Revision, wait time.Duration) (qhplatform.Changes, error) {
+			watch: func(ctx context.Context, after position, wait time.Duration) (qhplatform.Changes, error) {
 				return w.watchViaReader(ctx, reader, after, wait)
 			},
 		}
@@ -62,8 +62,8 @@
 	return watchSource{
 		wait: w.watchWait(totalReaders(feed.Members.View().Entries)),
 		list: func(ctx context.Context) (qhplatform.Listing, error) { return feed.Store.ListAt(ctx, w.prefix) },
-		watch: func(ctx context.Context, after qhplatform.Revision, wait time.Duration) (qhplatform.Changes, error) {
-			return feed.Store.WatchPrefix(ctx, w.prefix, after, wait)
+		watch: func(ctx context.Context, after position, wait time.Duration) (qhplatform.Changes, error) {
+			return feed.Store.WatchPrefix(ctx, w.prefix, after.revision, wait)
 		},
 	}
 }
@@ -74,6 +74,8 @@
 	// After is the revision after which changes are requested; 0 requests all
 	// objects.
 	After qhplatform.Revision `json:"a,omitempty"`
+	// Era is the era of the client's revisions; 0 if it knows none.
+	Era qhplatform.Era `json:"e,omitempty"`
 	// KnownRevision is the highest revision among the objects that the client has.
 	KnownRevision qhplatform.Revision `json:"h,omitempty"`
 	// Wait is how long to wait for a change, in nanoseconds.
@@ -83,7 +85,9 @@
 // watchResponse is the response to a watchRequest.
 type watchResponse struct {
 	Revision qhplatform.Revision `json:"at"`
-	Objects  []servedObject      `json:"o,omitempty"`
+	// Era is the era of Revision; 0 if the store does not tell it.
+	Era     qhplatform.Era `json:"e,omitempty"`
+	Objects []servedObject `json:"o,omitempty"`
 }
 
 // servedObject is an object as a reader sends it to a client.
@@ -130,15 +134,16 @@
 func (w *watcher) waitForChanges(ctx context.Context, request watchRequest) (watchResponse, int) {
 	timer := time.NewTimer(min(request.Wait, maxServedWait))
 	defer timer.Stop()
+	after := position{era: request.Era, revision: request.After}
 	for timedOut := false; ; {
-		changes, revision, changed, ok := w.cache.since(request.After)
+		changes, at, changed, ok := w.cache.since(after)
 		switch {
-		case !w.canServeWatches():
+		case !w.canServeWatches() || after.compareEra(at.era) == precedes:
 			return watchResponse{}, http.StatusServiceUnavailable
 		case !ok:
 			return watchResponse{}, http.StatusConflict
 		case len(changes) > 0 || timedOut || request.After == 0:
-			return w.encodeObjects(changes, revision, request.KnownRevision)
+			return w.encodeObjects(changes, at, request.KnownRevision)
 		}
 		select {
 		case <-changed:
@@ -151,8 +156,8 @@
 }
 
 // encodeObjects encodes objects for a client whose newest object has knownRevision.
-func (w *watcher) encodeObjects(changes []*cachedObject, revision, knownRevision qhplatform.Revision) (watchResponse, int) {
-	response := watchResponse{Revision: revision}
+func (w *watcher) encodeObjects(changes []*cachedObject, at position, knownRevision qhplatform.Revision) (watchResponse, int) {
+	response := watchResponse{Revision: at.revision, Era: at.era}
 	for _, object := range changes {
 		encoded := servedObject{Object: object.Object}
 		if qhid.Bytes(len(object.Value)) >= minPackSize {
@@ -170,23 +175,23 @@
 
 // listViaReader lists the objects at a reader.
 func (w *watcher) listViaReader(ctx context.Context, reader qhmember.Entry) (qhplatform.Listing, error) {
-	response, err := w.requestFromReader(ctx, reader, watchRequest{Prefix: w.prefix}, readerListTimeout)
+	response, err := w.requestFromReader(ctx, reader, watchRequest{Prefix: w.prefix, Era: w.position.era}, readerListTimeout)
 	if err != nil {
 		return qhplatform.Listing{}, err
 	}
 	objects, err := w.decodeObjects(response.Objects)
-	return qhplatform.Listing{Objects: objects, Revision: response.Revision}, err
+	return qhplatform.Listing{Objects: objects, Revision: response.Revision, Era: response.Era}, err
 }
 
 // watchViaReader waits for changes at a reader.
-func (w *watcher) watchViaReader(ctx context.Context, reader qhmember.Entry, after qhplatform.Revision, wait time.Duration) (qhplatform.Changes, error) {
+func (w *watcher) watchViaReader(ctx context.Context, reader qhmember.Entry, after position, wait time.Duration) (qhplatform.Changes, error) {
 	timeout := wait + time.Duration(readerGraceShare*float64(w.feed.ConvergenceLimit))
-	response, err := w.requestFromReader(ctx, reader, watchRequest{Prefix: w.prefix, After: after, KnownRevision: w.cache.newestRevision(), Wait: wait}, timeout)
+	response, err := w.requestFromReader(ctx, reader, watchRequest{Prefix: w.prefix, After: after.revision, Era: after.era, KnownRevision: w.cache.newestRevision(), Wait: wait}, timeout)
 	if err != nil {
 		return qhplatform.Changes{}, err
 	}
 	objects, err := w.decodeObjects(response.Objects)
-	return qhplatform.Changes{Objects: objects, Revision: response.Revision}, err
+	return qhplatform.Changes{Objects: objects, Revision: response.Revision, Era: response.Era}, err
 }
 
 // decodeObjects returns the objects with their values unpacked.
--- a/qhfeed/watcher.go
+++ b/qhfeed/watcher.go
@@ -39,6 +39,9 @@
 	// minWatchWait and maxWatchWait bound how long the store holds a watch.
 	minWatchWait = 2 * time.Second
 	maxWatchWait = 20 * time.Second
+	// resumeWait is how long the store holds the first watch after a failed call.
+	// Its response tells soon whether the store was restored meanwhile.
+	resumeWait = 10 * time.Millisecond
 	// minBackoff and maxBackoff bound the mean of the random backoff after a failed
 	// call.
 	minBackoff = 100 * time.Millisecond
@@ -57,10 +60,16 @@
 	apply func(objects []qhplatform.Object, isListing bool)
 	// cache has the latest known objects, for the clients of this node.
 	cache *objectCache
-	// revision is the revision reached so far. Only run uses it.
-	revision qhplatform.Revision
-	// lastEra and lastRevision are those of the last response, for the metrics.
-	lastEra, lastRevision atomic.Uint64
+	// position is the position reached so far. Only run uses it.
+	position position
+	// restored is set from the time that a restore of the store is noticed until
+	// the objects have been listed again. Only run uses it.
+	restored bool
+	// checkedEra is the latest era known to this node at the last listing. Only run
+	// uses it.
+	checkedEra qhplatform.Era
+	// era and revision are those of position, for other goroutines.
+	era, revision atomic.Uint64
 	// listed is set after the first listing.
 	listed atomic.Bool
 	// failing is set from a failed call to the store until the next successful
@@ -89,8 +98,8 @@
 
 func (f *Feed) newWatcher(name string, prefix qhplatform.Key, apply func([]qhplatform.Object, bool)) *watcher {
 	w := &watcher{feed: f, name: name, prefix: prefix, apply: apply, cache: newObjectCache(), restartWatch: make(chan struct{}, 1)}
-	f.Metrics.NewGauge(`qh_store_era{what="`+name+`"}`, func() float64 { return float64(w.lastEra.Load()) })
-	f.Metrics.NewGauge(`qh_store_revision{what="`+name+`"}`, func() float64 { return float64(w.lastRevision.Load()) })
+	f.Metrics.NewGauge(`qh_store_era{what="`+name+`"}`, func() float64 { return float64(w.era.Load()) })
+	f.Metrics.NewGauge(`qh_store_revision{what="`+name+`"}`, func() float64 { return float64(w.revision.Load()) })
 	f.Metrics.NewGauge(`qh_store_followed{what="`+name+`"}`, func() float64 {
 		if w.healthy() {
 			return 1
@@ -110,18 +119,16 @@
 }
 
 // run lists the objects and then watches for changes. It lists again whenever the
-// store no longer has the history.
+// store no longer has the history, or was restored from a copy.
 func (w *watcher) run(ctx context.Context) {
 	backoff := newRetryBackoff()
 	for ctx.Err() == nil {
 		source := w.nextSource()
+		w.checkedEra = w.feed.knownEra()
 		start := time.Now()
 		listing, err := source.list(ctx)
 		if err == nil {
-			w.logListing(source, listing)
-		}
-		if err == nil && listing.Revision < w.revision {
-			err = qherr.New(qherr.Unavailable, nil, "the node retries with another reader or the store", "the listing has revision %d, older than the known revision %d", listing.Revision, w.revision)
+			err = w.checkListing(source, listing)
 		}
 		if err != nil {
 			w.recordFailure(ctx, source, err, backoff)
@@ -130,11 +137,13 @@
 		backoff.reset()
 		w.listingTime.Store(int64(time.Since(start)))
 		w.recordResponse(source)
-		w.cache.replace(listing)
-		w.revision = listing.Revision
+		w.setPosition(w.position.advance(position{era: listing.Era, revision: listing.Revision}))
+		w.cache.replace(listing.Objects, w.position, w.restored)
+		afterRestore := w.restored
+		w.restored = false
 		before := w.feed.Holder.Version()
 		w.applyAndMeasure(listing.Objects, true)
-		if w.listed.Swap(true) && w.watchesStore.Load() && w.feed.Holder.Version() > before {
+		if w.listed.Swap(true) && w.watchesStore.Load() && (afterRestore || w.feed.Holder.Version() > before) {
 			w.feed.group.Go(w.feed.notifyReaders)
 		}
 		w.feed.checkReady()
@@ -142,29 +151,77 @@
 	}
 }
 
-// watchChanges applies changes until the store no longer has the history or ctx
-// ends.
+// checkListing logs a listing and returns an error if it is older than the known
+// objects.
+func (w *watcher) checkListing(source watchSource, listing qhplatform.Listing) error {
+	next := position{era: listing.Era, revision: listing.Revision}
+	w.feed.Log.Info("objects listed", zap.String("what", w.name), zap.String("reader", string(source.reader.Node)),
+		zap.Uint64("era", uint64(next.era)), zap.Uint64("revision", uint64(next.revision)),
+		zap.Uint64("known_era", uint64(w.position.era)), zap.Uint64("known", uint64(w.position.revision)), zap.Int("objects", len(listing.Objects)))
+	switch w.position.compareListing(next, source.reader.Node == "") {
+	case restored:
+		w.recordRestore(next)
+	case precedes:
+		return w.olderResponseError(next)
+	}
+	return nil
+}
+
+func (w *watcher) olderResponseError(next position) error {
+	return qherr.New(qherr.Unavailable, nil, "the node retries with another reader or the store", "the response is from revision %d of era %d, before the known revision %d of era %d",
+		next.revision, next.era, w.position.revision, w.position.era)
+}
+
+// recordRestore makes the next listing replace all known objects, and restarts the
+// other watches, which may miss changes of the new era.
+func (w *watcher) recordRestore(next position) {
+	w.feed.Log.Warn("store was restored from a copy, listing again", zap.String("what", w.name), zap.Uint64("era", uint64(next.era)),
+		zap.Uint64("revision", uint64(next.revision)), zap.Uint64("known_era", uint64(w.position.era)), zap.Uint64("known", uint64(w.position.revision)))
+	w.setPosition(position{era: max(w.position.era, next.era)})
+	w.restored = true
+	w.feed.restartWatches(w)
+}
+
+func (w *watcher) setPosition(next position) {
+	w.position = next
+	w.era.Store(uint64(next.era))
+	w.revision.Store(uint64(next.revision))
+}
+
+// watchChanges applies changes until the store no longer has the history, was
+// restored from a copy, or ctx ends.
 func (w *watcher) watchChanges(ctx context.Context, backoff *retryBackoff) {
 	for ctx.Err() == nil {
+		if w.feed.knownEra() > max(w.position.era, w.checkedEra) {
+			return // the store holds a watch from a revision that it has again
+		}
 		source := w.nextSource()
 		changes, err := w.watch(ctx, source)
 		if ctx.Err() == nil && errors.Is(err, errWatchRestarted) {
 			continue
 		}
 		if qherr.Is(err, qherr.Conflict) {
-			w.feed.Log.Info("store history compacted, listing again", zap.String("what", w.name), zap.Uint64("revision", uint64(w.revision)))
+			w.feed.Log.Info("store history compacted, listing again", zap.String("what", w.name), zap.Uint64("revision", uint64(w.position.revision)))
 			w.feed.restartWatches(w)
 			return
 		}
+		next := position{era: changes.Era, revision: changes.Revision}
+		relation := w.position.compareEra(next.era)
+		if err == nil && relation == restored {
+			w.recordRestore(next)
+			return
+		}
+		if err == nil && relation == precedes {
+			err = w.olderResponseError(next)
+		}
 		if err != nil {
 			w.recordFailure(ctx, source, err, backoff)
 			continue
 		}
 		backoff.reset()
 		w.recordResponse(source)
-		w.recordPosition(source, changes.Era, changes.Revision)
-		w.cache.add(changes)
-		w.revision = max(w.revision, changes.Revision)
+		w.setPosition(w.position.advance(next))
+		w.cache.add(changes.Objects, w.position)
 		if len(changes.Objects) > 0 {
 			w.applyAndMeasure(changes.Objects, false)
 			pause := time.Duration(w.pause.Load())
@@ -198,7 +255,7 @@
 var errWatchRestarted = errors.New("watch may have missed a change; it is restarted") //nolint:gochecknoglobals // a sentinel error
 
 // watch waits for changes, for a random time between half and one and a half times
-// source.wait, or until it is restarted. It is not restarted once the response has
+// source.wait, or until it is restarted. After a failed call it does not wait. It is not restarted once the response has
 // begun to arrive.
 func (w *watcher) watch(ctx context.Context, source watchSource) (qhplatform.Changes, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
@@ -216,7 +273,11 @@
 		case <-stop:
 		}
 	})
-	changes, err := source.watch(ctx, w.revision, source.wait/2+rand.N(source.wait))
+	wait := source.wait/2 + rand.N(source.wait)
+	if w.failing.Load() {
+		wait = resumeWait
+	}
+	changes, err := source.watch(ctx, w.position, wait)
 	if err != nil && errors.Is(context.Cause(ctx), errWatchRestarted) {
 		return qhplatform.Changes{}, errWatchRestarted
 	}
@@ -238,27 +299,6 @@
 	}
 }
 
-// logListing logs the position of a listing beside the known revision.
-func (w *watcher) logListing(source watchSource, listing qhplatform.Listing) {
-	w.feed.Log.Info("objects listed", zap.String("what", w.name), zap.String("reader", string(source.reader.Node)),
-		zap.Uint64("era", uint64(listing.Era)), zap.Uint64("revision", uint64(listing.Revision)),
-		zap.Uint64("known", uint64(w.revision)), zap.Int("objects", len(listing.Objects)))
-	w.recordPosition(source, listing.Era, listing.Revision)
-}
-
-// recordPosition records the era and the revision of a response, and logs a new
-// era.
-func (w *watcher) recordPosition(source watchSource, era qhplatform.Era, revision qhplatform.Revision) {
-	w.lastRevision.Store(uint64(revision))
-	if era == 0 {
-		return
-	}
-	if last := w.lastEra.Swap(uint64(era)); last != uint64(era) {
-		w.feed.Log.Info("era of the store", zap.String("what", w.name), zap.String("reader", string(source.reader.Node)),
-			zap.Uint64("era", uint64(era)), zap.Uint64("before", last), zap.Uint64("revision", uint64(revision)), zap.Uint64("known", uint64(w.revision)))
-	}
-}
-
 // recordFailure records a failed call. A reader that failed is skipped for
 // readerSkipTime; the store is called again after the backoff.
 func (w *watcher) recordFailure(ctx context.Context, source watchSource, err error, backoff *retryBackoff) {
--- a/qhplatform/http.go
+++ b/qhplatform/http.go
@@ -10,6 +10,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
+
+	"quetzalhaven.dev/qherr"
 )
 
 // Defaults of HTTPOptions.
@@ -188,6 +190,9 @@
 		if after == "" {
 			listing.Revision, listing.Era = page.Revision, page.Era
 		}
+		if page.Era != 0 && listing.Era != 0 && page.Era != listing.Era {
+			return Listing{}, qherr.New(qherr.Unavailable, nil, "list it again", "the platform was restored from a copy between two pages of %s", prefix)
+		}
 		listing.Objects = append(listing.Objects, page.Objects...)
 		if page.ContinueAfter == "" || page.ContinueAfter == after {
 			return listing, nil
