qhfeed: Write the own entry again if the store lost or replaced it

What callers saw: after a restore of the store, targets that had been announced in the lost seconds were gone from all other nodes, for good. Cause: a node compared its entry with its memory of the last acknowledged write. A listing without the entry, or an entry from the copy or from a delayed write, changed the remembered revision at most, never the remembered entry, so that nothing was written. Change: what the store sends about the node's own entry replaces that memory, unless a later write of the same era is known; a listing without it counts as a deletion. An entry that a restore brings back after the node has left is deleted again. Evidence: the three specs 'are written again if ...' failed before with no entry or the earlier one after 20 s, and pass. The deletion after leaving has no spec yet. Run: go test -race ./qhfeed passed.

--- a/qhfeed/nodes.go
+++ b/qhfeed/nodes.go
@@ -20,14 +20,14 @@
 
 // applyNodeObjects merges entries from the store into the member table. A node whose
 // entry was deleted or is missing from a full listing is removed.
-func (f *Feed) applyNodeObjects(objects []qhplatform.Object, isListing bool) {
+func (f *Feed) applyNodeObjects(batch batch) {
 	var entries []qhmember.Entry
-	listed := make(map[qhid.Node]bool, len(objects))
+	listed := make(map[qhid.Node]bool, len(batch.objects))
 	self := f.Members.Self()
-	for _, object := range objects {
+	for _, object := range batch.objects {
 		node := entryNode(object.Key)
 		listed[node] = true
-		f.recordRevision(node, object)
+		f.recordRevision(node, object, batch.restored)
 		if object.Value == nil {
 			f.removeMember(node, "its entry was deleted from the store")
 			continue
@@ -44,11 +44,12 @@
 		f.Log.Info("member updated", zap.String("member", string(entry.Node)), zap.String("state", string(entry.State)),
 			zap.Uint64("incarnation", uint64(entry.Incarnation)), zap.Uint64("sequence", uint64(entry.Sequence)), zap.Int("targets", len(entry.Targets)))
 	}
-	if isListing {
+	if batch.isListing {
 		f.removeUnlistedMembers(listed)
+		f.recordUnlistedSelf(listed, batch)
 	}
 	f.Members.Refresh()
-	if now := f.Members.Self(); now.Sequence != self.Sequence || now.Incarnation != self.Incarnation || f.needsWrite(now) {
+	if now := f.Members.Self(); now.Sequence != self.Sequence || now.Incarnation != self.Incarnation || f.needsWrite(now) || f.needsRemoval(now) {
 		f.wakePublisher()
 	}
 }
@@ -65,14 +66,16 @@
 }
 
 // recordRevision records the revision of a node's entry in the store, or that the
-// entry was deleted.
-func (f *Feed) recordRevision(node qhid.Node, object qhplatform.Object) {
+// entry was deleted. Of this node it records the entry too, unless a later write of
+// the same era is known.
+func (f *Feed) recordRevision(node qhid.Node, object qhplatform.Object, restored bool) {
+	self := f.Members.Self().Node
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if node == f.Members.Self().Node {
-		f.storedRevision = object.Revision
-		if object.Value == nil {
-			f.storedRevision, f.storedEntry = 0, qhmember.Entry{}
+	if node == self {
+		wasDeleted := object.Value == nil && object.Revision == f.storedRevision
+		if restored || wasDeleted || object.Revision > f.storedRevision {
+			f.setStored(object)
 		}
 		return
 	}
@@ -82,6 +85,33 @@
 	}
 }
 
+// setStored records this node's entry as the store has it. One that was deleted or
+// cannot be decoded counts as missing, so that it is written again. The lock is held.
+func (f *Feed) setStored(object qhplatform.Object) {
+	f.storedRevision, f.storedEntry = object.Revision, qhmember.Entry{}
+	if object.Value == nil {
+		f.storedRevision = 0
+		return
+	}
+	var entry qhmember.Entry
+	if json.Unmarshal(object.Value, &entry) == nil {
+		f.storedEntry = entry
+	}
+}
+
+// recordUnlistedSelf records that the store has no entry of this node if a listing
+// does not have it, unless the entry was written after the listing.
+func (f *Feed) recordUnlistedSelf(listed map[qhid.Node]bool, batch batch) {
+	if listed[f.Members.Self().Node] {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if batch.restored || batch.revision >= f.storedRevision {
+		f.setStored(qhplatform.Object{})
+	}
+}
+
 // removeMember removes a node from the member table and logs the cause.
 func (f *Feed) removeMember(node qhid.Node, cause string) {
 	entry, ok := f.Members.Get(node)
@@ -106,11 +136,11 @@
 }
 
 // needsRemoval reports whether the store has an entry of this node although the
-// node no longer has targets.
+// node no longer has targets or has left.
 func (f *Feed) needsRemoval(own qhmember.Entry) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.announced && len(own.Targets) == 0 && f.storedRevision != 0
+	return f.announced && (len(own.Targets) == 0 || f.hasLeft) && f.storedRevision != 0
 }
 
 // publish writes this node's entry to the store whenever it changes, with retries,
@@ -173,12 +203,9 @@
 	if err != nil && !qherr.Is(err, qherr.NotFound) {
 		return // the next attempt to write reads it again
 	}
-	var found qhmember.Entry
-	if err == nil && json.Unmarshal(object.Value, &found) != nil {
-		found = qhmember.Entry{} // cannot be decoded, so it is overwritten
-	}
 	f.mu.Lock()
-	f.storedRevision, f.storedEntry = object.Revision, found
+	f.setStored(object)
+	found := f.storedEntry
 	f.mu.Unlock()
 	if found.Node == own.Node {
 		f.Members.Merge([]qhmember.Entry{found})
@@ -208,7 +235,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	if err := f.Store.Delete(ctx, entryKey(f.Members.Self().Node), revision); err != nil {
+	if err := f.Store.Delete(ctx, entryKey(f.Members.Self().Node), revision); err != nil && !qherr.Is(err, qherr.NotFound) {
 		f.Log.Warn("cannot delete own entry; other nodes notice it by failed calls", zap.Error(err))
 		return
 	}
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -154,8 +154,8 @@
 
 // applyConfigObjects applies the configuration if it is among the objects. One that
 // cannot be decoded is refused, and the previous version stays in force.
-func (f *Feed) applyConfigObjects(objects []qhplatform.Object, _ bool) {
-	for _, object := range objects {
+func (f *Feed) applyConfigObjects(batch batch) {
+	for _, object := range batch.objects {
 		if object.Key == f.ConfigKey && object.Value != nil {
 			f.applyConfig(object.Value, "store")
 		}
--- /dev/null
+++ b/qhfeed/restore_nodes_test.go
@@ -0,0 +1,85 @@
+package qhfeed
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
+	"quetzalhaven.dev/qhplatform"
+)
+
+var _ = Describe("the entries of nodes in a store that is restored from a copy", func() {
+	ctx := context.Background()
+	var fake *qhplatform.Fake
+	var store qhplatform.Store
+	BeforeEach(func() {
+		fake = qhplatform.NewFake(qhplatform.FakeOptions{})
+		store = fake.Store()
+		writeConfig(store, 1)
+	})
+	// storedTargets returns the targets in the entry of a node in the store.
+	storedTargets := func(node qhid.Node) func() []qhid.Target {
+		return func() (list []qhid.Target) {
+			object, err := store.Get(ctx, entryKey(node))
+			var entry qhmember.Entry
+			if err != nil || json.Unmarshal(object.Value, &entry) != nil {
+				return nil
+			}
+			for _, target := range entry.Targets {
+				list = append(list, target.ID)
+			}
+			return list
+		}
+	}
+	waitFor := func(get func() []qhid.Target, expected ...qhid.Target) {
+		GinkgoHelper()
+		Eventually(get).WithTimeout(eventuallyTimeout).Should(ConsistOf(expected))
+	}
+
+	It("are written again if the restore took them back", func() {
+		a, b := startNode("a", store), startNode("b", store)
+		Eventually(a.feed.Ready()).WithTimeout(eventuallyTimeout).Should(BeClosed())
+		backup := fake.Backup()
+		writeObjects(store, "lost", lostWrites)
+		a.announce("t1")
+		waitFor(storedTargets("a"), "t1")
+		waitFor(b.knownTargets, "t1")
+		fake.Restore(backup)
+		waitFor(storedTargets("a"), "t1")
+		waitFor(startNode("c", store).knownTargets, "t1")
+		waitFor(b.knownTargets, "t1")
+	})
+
+	It("are written again if the store has an earlier one", func() {
+		a := startNode("a", store)
+		a.announce("t1")
+		waitFor(storedTargets("a"), "t1")
+		backup := fake.Backup()
+		writeObjects(store, "lost", lostWrites)
+		a.announce("t2")
+		waitFor(storedTargets("a"), "t2")
+		fake.Restore(backup)
+		waitFor(storedTargets("a"), "t2")
+	})
+
+	It("are written again if a delayed write replaced the latest one", func() {
+		a := startNode("a", store)
+		a.announce("t1")
+		waitFor(storedTargets("a"), "t1")
+		first, err := store.Get(ctx, entryKey("a"))
+		Expect(err).NotTo(HaveOccurred())
+		a.announce("t2")
+		waitFor(storedTargets("a"), "t2")
+		latest, err := store.Get(ctx, entryKey("a"))
+		Expect(err).NotTo(HaveOccurred())
+		time.Sleep(2 * nodesWatchInterval) // a has received its own entry
+		_, err = store.Update(ctx, entryKey("a"), first.Value, latest.Revision)
+		Expect(err).NotTo(HaveOccurred())
+		waitFor(storedTargets("a"), "t2")
+	})
+})
--- a/qhfeed/watcher.go
+++ b/qhfeed/watcher.go
@@ -48,6 +48,17 @@
 	maxBackoff = time.Second
 )
 
+// batch is a set of objects that a watcher has received.
+type batch struct {
+	objects []qhplatform.Object
+	// revision is the revision of the store up to which the objects are complete.
+	revision qhplatform.Revision
+	// isListing is set if the objects are all that exist.
+	isListing bool
+	// restored is set for the first listing after a restore of the store.
+	restored bool
+}
+
 // watcher keeps this node up to date with the objects under one prefix. It lists
 // them and then watches for changes, either at the store or through a reader. On a
 // reader it also serves the watches of the reader's clients.
@@ -55,9 +66,8 @@
 	feed   *Feed
 	name   string
 	prefix qhplatform.Key
-	// apply handles new and changed objects; isListing is set if they are a full
-	// listing.
-	apply func(objects []qhplatform.Object, isListing bool)
+	// apply handles received objects.
+	apply func(batch batch)
 	// cache has the latest known objects, for the clients of this node.
 	cache *objectCache
 	// position is the position reached so far. Only run uses it.
@@ -96,7 +106,7 @@
 	restartWatch chan struct{}
 }
 
-func (f *Feed) newWatcher(name string, prefix qhplatform.Key, apply func([]qhplatform.Object, bool)) *watcher {
+func (f *Feed) newWatcher(name string, prefix qhplatform.Key, apply func(batch)) *watcher {
 	w := &watcher{feed: f, name: name, prefix: prefix, apply: apply, cache: newObjectCache(), restartWatch: make(chan struct{}, 1)}
 	f.Metrics.NewGauge(`qh_store_era{what="`+name+`"}`, func() float64 { return float64(w.era.Load()) })
 	f.Metrics.NewGauge(`qh_store_revision{what="`+name+`"}`, func() float64 { return float64(w.revision.Load()) })
@@ -142,7 +152,7 @@
 		afterRestore := w.restored
 		w.restored = false
 		before := w.feed.Holder.Version()
-		w.applyAndMeasure(listing.Objects, true)
+		w.applyAndMeasure(batch{objects: listing.Objects, revision: listing.Revision, isListing: true, restored: afterRestore})
 		if w.listed.Swap(true) && w.watchesStore.Load() && (afterRestore || w.feed.Holder.Version() > before) {
 			w.feed.group.Go(w.feed.notifyReaders)
 		}
@@ -223,7 +233,7 @@
 		w.setPosition(w.position.advance(next))
 		w.cache.add(changes.Objects, w.position)
 		if len(changes.Objects) > 0 {
-			w.applyAndMeasure(changes.Objects, false)
+			w.applyAndMeasure(batch{objects: changes.Objects, revision: changes.Revision})
 			pause := time.Duration(w.pause.Load())
 			w.pauseEnd.Store(time.Now().Add(pause).UnixNano())
 			qhgroup.Sleep(ctx, pause)
@@ -232,9 +242,9 @@
 }
 
 // applyAndMeasure applies objects and sets the pause by how long that took.
-func (w *watcher) applyAndMeasure(objects []qhplatform.Object, isListing bool) {
+func (w *watcher) applyAndMeasure(batch batch) {
 	start := time.Now()
-	w.apply(objects, isListing)
+	w.apply(batch)
 	elapsed := time.Since(start)
 	if w.watchesStore.Load() {
 		elapsed += time.Duration(w.listingTime.Load())
