qhfeed: Keep nodes whose entries a restore of the store took back

What callers saw: for the time until a node has written its entry again, no other node used its targets; a node cut off from the store lost them until the cut ended. Cause: the first listing after a restore lacks the entries of the lost seconds, and a listing removed every node that it does not have. Change: missing entries are kept for 10 s after a restore; then nodes that have not written them again and do not respond to a probe are removed. Evidence: 'are used until their nodes have written them again' failed before at once (no targets known), and passes; 'are dropped if their nodes are gone' guards the other side.

--- a/qhfeed/nodes.go
+++ b/qhfeed/nodes.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmember"
 	"quetzalhaven.dev/qhplatform"
@@ -18,8 +21,13 @@
 // entryNode returns the node whose entry is stored under the key.
 func entryNode(key qhplatform.Key) qhid.Node { return qhid.Node(key[len(entryPrefix):]) }
 
+// rewriteTimeout is the time after a restore of the store in which nodes whose
+// entries it took back write them again. Until then their earlier entries are used.
+const rewriteTimeout = 10 * time.Second
+
 // applyNodeObjects merges entries from the store into the member table. A node whose
-// entry was deleted or is missing from a full listing is removed.
+// entry was deleted or is missing from a full listing is removed. After a restore of
+// the store, missing entries are kept until rewriteTimeout.
 func (f *Feed) applyNodeObjects(batch batch) {
 	var entries []qhmember.Entry
 	listed := make(map[qhid.Node]bool, len(batch.objects))
@@ -45,7 +53,7 @@
 			zap.Uint64("incarnation", uint64(entry.Incarnation)), zap.Uint64("sequence", uint64(entry.Sequence)), zap.Int("targets", len(entry.Targets)))
 	}
 	if batch.isListing {
-		f.removeUnlistedMembers(listed)
+		f.removeUnlisted(listed, batch.restored)
 		f.recordUnlistedSelf(listed, batch)
 	}
 	f.Members.Refresh()
@@ -120,10 +128,50 @@
 	}
 }
 
-func (f *Feed) removeUnlistedMembers(listed map[qhid.Node]bool) {
-	for _, entry := range f.Members.View().Entries {
-		if !listed[entry.Node] {
-			f.removeMember(entry.Node, "its entry is not in the store's listing")
+// removeUnlisted removes the nodes that a listing does not have, at once or, after a
+// restore of the store, later.
+func (f *Feed) removeUnlisted(listed map[qhid.Node]bool, restored bool) {
+	f.mu.Lock()
+	maps.DeleteFunc(f.entryRevisions, func(node qhid.Node, _ qhplatform.Revision) bool { return !listed[node] })
+	if restored {
+		f.rewriteEnd = time.Now().Add(rewriteTimeout)
+	}
+	isRewriting := time.Now().Before(f.rewriteEnd)
+	f.mu.Unlock()
+	if restored {
+		f.group.Go(f.removeNotRewritten)
+	}
+	if isRewriting {
+		return
+	}
+	for _, entry := range f.unlistedMembers() {
+		f.removeMember(entry.Node, "its entry is not in the store's listing")
+	}
+}
+
+// unlistedMembers returns the other nodes that have no entry in the store.
+func (f *Feed) unlistedMembers() []qhmember.Entry {
+	self, entries := f.Members.Self().Node, f.Members.View().Entries
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(entries), func(entry qhmember.Entry) bool {
+		return entry.Node == self || f.entryRevisions[entry.Node] != 0
+	})
+}
+
+// removeNotRewritten removes the nodes that have not written their entries again by
+// rewriteTimeout. One that responds to a probe cannot reach the store, and is kept
+// for another rewriteTimeout.
+func (f *Feed) removeNotRewritten(ctx context.Context) {
+	for qhgroup.Sleep(ctx, rewriteTimeout) {
+		unlisted := f.unlistedMembers()
+		if len(unlisted) == 0 {
+			return
+		}
+		for _, entry := range unlisted {
+			if !f.probe(ctx, entry) && ctx.Err() == nil {
+				f.removeMember(entry.Node, "its entry was not written again after a restore of the store")
+			}
 		}
 	}
 }
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -76,6 +76,9 @@
 	storedEntry qhmember.Entry
 	// entryRevisions has the revisions of the other nodes' entries in the store.
 	entryRevisions map[qhid.Node]qhplatform.Revision
+	// rewriteEnd is when the nodes should have written their entries again after
+	// the last restore of the store.
+	rewriteEnd time.Time
 	// skippedUntil has the end of the time for which each failed reader is skipped.
 	skippedUntil map[qhid.Node]time.Time
 	// hasLeft is set by Leave; this node's entry is then not written again.
--- a/qhfeed/restore_nodes_test.go
+++ b/qhfeed/restore_nodes_test.go
@@ -82,4 +82,36 @@
 		Expect(err).NotTo(HaveOccurred())
 		waitFor(storedTargets("a"), "t2")
 	})
+
+	It("are used until their nodes have written them again", func() {
+		cutOff := store
+		tap := &storeTap{}
+		a, b := startNode("a", tap.wrap(cutOff)), startNode("b", store)
+		Eventually(a.feed.Ready()).WithTimeout(eventuallyTimeout).Should(BeClosed())
+		backup := fake.Backup()
+		writeObjects(store, "lost", lostWrites)
+		a.announce("t1")
+		waitFor(b.knownTargets, "t1")
+		tap.cutOff.Store(true)
+		fake.Restore(backup)
+		Eventually(b.feed.knownEra).WithTimeout(eventuallyTimeout).Should(BeEquivalentTo(2))
+		Consistently(b.knownTargets).WithTimeout(2 * time.Second).Should(ConsistOf(qhid.Target("t1")))
+		tap.cutOff.Store(false)
+		waitFor(storedTargets("a"), "t1")
+		Expect(b.knownTargets()).To(ConsistOf(qhid.Target("t1")))
+	})
+
+	It("are dropped if their nodes are gone and do not write them again", func() {
+		a, b := startNode("a", store), startNode("b", store)
+		b.announce("t2")
+		waitFor(a.knownTargets, "t2")
+		backup := fake.Backup()
+		writeObjects(store, "lost", lostWrites)
+		a.announce("t1")
+		waitFor(b.knownTargets, "t1", "t2")
+		a.stop()
+		a.closeListener()
+		fake.Restore(backup)
+		waitFor(b.knownTargets, "t2")
+	})
 })
