qhfeed: Do not use nodes again that left before the store was restored

What callers saw: after a restore, calls to targets that had been taken away in the lost seconds, until probes had missed them three times. Cause: the entry of a node that had left comes back with the copy, and a node that was dropped from the member table has nothing to compare it with.

--- a/qhfeed/nodes.go
+++ b/qhfeed/nodes.go
@@ -37,6 +37,7 @@
 		listed[node] = true
 		f.recordRevision(node, object, batch.restored)
 		if object.Value == nil {
+			f.recordDeparture(node)
 			f.removeMember(node, "its entry was deleted from the store")
 			continue
 		}
@@ -47,6 +48,9 @@
 		}
 		entries = append(entries, entry)
 	}
+	if batch.restored {
+		entries = f.withoutDeparted(entries)
+	}
 	f.removeSucceeded(entries)
 	for _, entry := range f.Members.Merge(entries) {
 		f.Log.Info("member updated", zap.String("member", string(entry.Node)), zap.String("state", string(entry.State)),
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -76,6 +76,8 @@
 	storedEntry qhmember.Entry
 	// entryRevisions has the revisions of the other nodes' entries in the store.
 	entryRevisions map[qhid.Node]qhplatform.Revision
+	// departed has the nodes whose entries were deleted from the store.
+	departed map[qhid.Node]departure
 	// rewriteEnd is when the nodes should have written their entries again after
 	// the last restore of the store.
 	rewriteEnd time.Time
@@ -108,6 +110,7 @@
 		ready:          make(chan struct{}),
 		publishWake:    make(chan struct{}, 1),
 		entryRevisions: make(map[qhid.Node]qhplatform.Revision),
+		departed:       make(map[qhid.Node]departure),
 		skippedUntil:   make(map[qhid.Node]time.Time),
 	}
 	f.config = f.newWatcher("configuration", prefixOf(options.ConfigKey), f.applyConfigObjects)
