qhdialect, platform, qhproxy: Decode and log the rate limits that targets name

Change: the dialect decodes the limit of a response (Server-Limit on the users' platform, Call-Limit natively); a malformed one is a log line and counts as missing. The target's node and the caller's node record it from each response, log 'rate limit of a target changed', and have the gauge qh_target_rate_limits. A limit holds until a response without it comes a second or more after the last one that named it. No call is placed or refused by it yet. Run: go test ./qhproxy ./platform passed.

--- a/qhdialect/qhdialect.go
+++ b/qhdialect/qhdialect.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"quetzalhaven.dev/qhdeadline"
+	"quetzalhaven.dev/qherr"
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhid"
 )
@@ -28,6 +29,10 @@
 	// NotExecuted reports whether the target's response says that it did not
 	// execute the call.
 	NotExecuted func(resp *http.Response) bool
+	// RateLimit returns the calls per second that a target takes from all nodes
+	// together, or false if its response does not name them. Errors are of kind
+	// BadInput.
+	RateLimit func(header http.Header) (qhid.CallsPerSecond, bool, error)
 	// FormatRetryAfter returns the value of the Retry-After header.
 	FormatRetryAfter func(delay time.Duration) string
 	// RequiresRequestID is set if every call must carry a request ID, which
@@ -36,6 +41,19 @@
 	RequiresRequestID bool
 }
 
+// ParseRateLimit parses a decimal number of calls per second. An empty text names no
+// limit. Errors are of kind BadInput.
+func ParseRateLimit(text string) (qhid.CallsPerSecond, bool, error) {
+	if text == "" {
+		return 0, false, nil
+	}
+	rate, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return 0, false, qherr.New(qherr.BadInput, err, "send calls per second as in 12.5", "%q is not a rate limit", text)
+	}
+	return qhid.CallsPerSecond(rate), true, nil
+}
+
 // Default returns the native dialect, with the headers of package qhheader.
 func Default() Dialect {
 	return Dialect{
@@ -50,8 +68,11 @@
 		SetRemainingTime: func(header http.Header, remaining time.Duration) {
 			header[qhheader.Timeout] = []string{qhdeadline.Format(remaining)}
 		},
-		SetTarget:        func(http.Header, qhid.Target, qhid.Service) {},
-		NotExecuted:      func(*http.Response) bool { return false },
+		SetTarget:   func(http.Header, qhid.Target, qhid.Service) {},
+		NotExecuted: func(*http.Response) bool { return false },
+		RateLimit: func(header http.Header) (qhid.CallsPerSecond, bool, error) {
+			return ParseRateLimit(header.Get(qhheader.RateLimit))
+		},
 		FormatRetryAfter: func(delay time.Duration) string { return strconv.Itoa(int(math.Ceil(delay.Seconds()))) },
 	}
 }
--- a/qhheader/qhheader.go
+++ b/qhheader/qhheader.go
@@ -13,6 +13,9 @@
 	IdempotencyKey = "Idempotency-Key"
 	// RetryAfter carries the suggested delay before a retry, in whole seconds.
 	RetryAfter = "Retry-After"
+	// RateLimit carries the calls per second, such as "12.5", that a target takes
+	// from all nodes together. It is in a target's responses as long as it holds.
+	RateLimit = "Call-Limit"
 	// Outcome carries what is known about the execution of a call that a node
 	// answers itself: OutcomeNotExecuted, OutcomeUnknown or OutcomeDone.
 	Outcome = "Qh-Outcome"
--- a/qhid/qhid.go
+++ b/qhid/qhid.go
@@ -63,3 +63,6 @@
 	_, _ = rand.Read(buf) // crypto/rand.Read never returns an error
 	return Request(hex.EncodeToString(buf))
 }
+
+// CallsPerSecond is a rate of calls.
+type CallsPerSecond float64
--- a/qhproxy/proxy.go
+++ b/qhproxy/proxy.go
@@ -90,6 +90,7 @@
 	// intake admits the large request bodies of other nodes.
 	intake   *qhintake.Gate
 	counters *counters
+	limits   *targetLimits
 	// claims is nil if Store is nil.
 	claims  *qhclaim.Manager
 	buffers bufferPool
@@ -132,6 +133,7 @@
 		nodePool:    nodePool,
 		intake:      qhintake.New(options.LinkSpeed),
 		counters:    newCounters(options.Metrics),
+		limits:      newTargetLimits(),
 		baseContext: baseContext,
 		group:       group,
 		cancelCalls: cancelCalls,
@@ -140,6 +142,7 @@
 		callerCalls: newInFlightCounter(),
 	}
 	options.Metrics.NewGauge("qh_calls_in_flight", func() float64 { return float64(proxy.callerCalls.count.Load()) })
+	options.Metrics.NewGauge("qh_target_rate_limits", func() float64 { return float64(proxy.limits.count()) })
 	closeClaims := func() {}
 	if options.Store != nil {
 		proxy.claims, closeClaims = qhclaim.New(qhclaim.Options{
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -110,6 +110,7 @@
 			guard.MarkUnreachable()
 		}
 	} else {
+		p.observeLimit(target, resp.Header)
 		f = p.checkResponse(out, resp)
 	}
 	if f != nil {
