qhguard, qhproxy, qhbalance: Keep the rate limit that a target names

Cause: nobody read the limit. Admission was by slots alone, and nodes chose targets by latency and load, where a target in need that answers fast looks free. Ruled out: a header lost between nodes (it was forwarded to the callers' nodes), and limits kept by each node by itself. Change: the target's node, the only way to it, spaces out its calls at the named rate (pacer.go, decided without a network): a quarter of a second's calls at once after a pause, a call in four seconds at least, so that the end of a limit is noticed. Calls that wait for the pacer are in the queue like the others, by priority and deadline, and what cannot be served in time is refused at once with the reason rate-limit and the time at which there is room. Such a target counts as full until then: other targets are preferred, and other zones if there is none. A node that has restarted takes the limit from the calls of other nodes until the target has responded. Why it works: every call to a target passes its node, so that one count bounds the sum over all nodes.

--- a/qhbalance/choose.go
+++ b/qhbalance/choose.go
@@ -162,10 +162,10 @@
 	return remoteChoice, remoteChoice.Endpoint != nil
 }
 
-// hasLatencyBelow reports whether an endpoint was chosen and its expected latency
-// is below limit, in nanoseconds.
+// hasLatencyBelow reports whether an endpoint was chosen that is not full and whose
+// expected latency is below limit, in nanoseconds.
 func (c *Choice) hasLatencyBelow(limit float64, now time.Time) bool {
-	return c.Endpoint != nil && expectedLatency(c.Endpoint, c.Endpoint.Stats.Latency.Load(), now) < limit
+	return c.Endpoint != nil && !isFull(c.Endpoint, now) && expectedLatency(c.Endpoint, c.Endpoint.Stats.Latency.Load(), now) < limit
 }
 
 // hasLoadBelow reports whether an endpoint was chosen and its load is below
@@ -293,10 +293,13 @@
 	return defaultSlots
 }
 
-// isFaster reports whether a has a lower expected latency than b. If either has
-// no measured latency yet, only their loads are compared, so that an endpoint
-// that never responds does not count as fast.
+// isFaster reports whether a has a lower expected latency than b, or is not full
+// while b is. If either has no measured latency yet, only their loads are compared,
+// so that an endpoint that never responds does not count as fast.
 func isFaster(a, b *qhmember.Endpoint, now time.Time) bool {
+	if fullA, fullB := isFull(a, now), isFull(b, now); fullA != fullB {
+		return fullB
+	}
 	latencyA, latencyB := a.Stats.Latency.Load(), b.Stats.Latency.Load()
 	if latencyA == 0 || latencyB == 0 {
 		latencyA, latencyB = 1, 1
@@ -333,7 +336,7 @@
 
 // loadPercent returns the load as a percentage of the slots.
 func loadPercent(endpoint *qhmember.Endpoint, now time.Time) int64 {
-	if endpoint.Stats.FullUntil.Load() > now.UnixNano() {
+	if isFull(endpoint, now) {
 		return 100
 	}
 	return currentLoad(endpoint, now) * 100 / slotsOf(endpoint)
--- a/qhbalance/observe.go
+++ b/qhbalance/observe.go
@@ -114,7 +114,17 @@
 
 // RecordFull records that the endpoint had no free slot.
 func RecordFull(endpoint *qhmember.Endpoint, now time.Time) {
-	endpoint.Stats.FullUntil.Store(now.Add(fullDuration).UnixNano())
+	RecordFullFor(endpoint, fullDuration, now)
+}
+
+// RecordFullFor records that the endpoint takes no calls for a time.
+func RecordFullFor(endpoint *qhmember.Endpoint, duration time.Duration, now time.Time) {
+	endpoint.Stats.FullUntil.Store(now.Add(duration).UnixNano())
+}
+
+// isFull reports whether the endpoint counts as full.
+func isFull(endpoint *qhmember.Endpoint, now time.Time) bool {
+	return endpoint.Stats.FullUntil.Load() > now.UnixNano()
 }
 
 // IsOverdue reports whether a call that ended at its deadline counts as a
--- a/qhdecision/decision.go
+++ b/qhdecision/decision.go
@@ -45,6 +45,7 @@
 	NoTarget            Reason = "no-target"         // no endpoint of the service accepts calls, or the chosen target is not on its node any more
 	Leaving             Reason = "leaving"           // the node or the target is leaving and accepts no new calls
 	Busy                Reason = "busy"              // the queue is full or its expected wait too long, or the node has too many calls
+	RateLimited         Reason = "rate-limit"        // the rate limit that the target names allows the call too late
 	Late                Reason = "late"              // the response would come after the deadline
 	CallerGone          Reason = "caller-gone"       // the caller closed its connection
 	DeadlineExceeded    Reason = "deadline"          // the deadline passed before the response began
--- a/qhguard/guard.go
+++ b/qhguard/guard.go
@@ -1,7 +1,7 @@
 // Package qhguard does admission control for the targets on the node's VM. Each
 // target has at most as many admitted calls as it has slots, not counting overdue
-// ones (see reclaimFactor); further calls wait in a bounded queue ordered by
-// priority and deadline. Every call to a target passes through its guard, so a
+// ones (see reclaimFactor), and no more calls a second than the rate limit that it
+// names; further calls wait in a bounded queue ordered by priority and deadline. Every call to a target passes through its guard, so a
 // refused call is known not to have been executed.
 package qhguard
 
@@ -75,8 +75,16 @@
 	// reduced.
 	running int
 	// queue is ordered by priority, then by response deadline. It is empty while
-	// slots are free.
+	// slots are free and the pacer allows a call.
 	queue []*waiter
+	// pacer spaces out the calls of a target that names a rate limit.
+	pacer pacer
+	// paceTimer admits queued calls when the pacer allows the next one; nil if none
+	// waits for it.
+	paceTimer *time.Timer
+	// hasResponded is set once a response has told whether the target has a rate
+	// limit.
+	hasResponded bool
 	// meanServiceTime is the moving average over all calls, 0 before the first
 	// one.
 	meanServiceTime time.Duration
@@ -158,7 +166,7 @@
 		g.mu.Unlock()
 		return nil, refusal
 	}
-	if g.running < g.slots() && len(g.queue) == 0 {
+	if g.canAdmit(now) && len(g.queue) == 0 {
 		permit := g.occupySlot(request, now)
 		g.mu.Unlock()
 		return permit, nil
@@ -205,16 +213,19 @@
 	if !w.deadline.IsZero() && !now.Before(w.deadline) {
 		return &Refusal{Reason: qhdecision.Late, RetryAfter: minRetryAfter}
 	}
-	slots := g.slots()
-	if g.running < slots && len(g.queue) == 0 {
+	if g.canAdmit(now) && len(g.queue) == 0 {
 		return nil
 	}
-	if len(g.queue) >= g.queueLimit(slots) {
-		return &Refusal{Reason: qhdecision.Busy, RetryAfter: g.expectedWaitBehind(len(g.queue)) + minRetryAfter}
+	full := qhdecision.Busy
+	if g.pacer.isLimited() && g.running < g.slots() {
+		full = qhdecision.RateLimited
+	}
+	if len(g.queue) >= g.queueLimit(g.slots()) {
+		return &Refusal{Reason: full, RetryAfter: g.expectedWaitBehind(now, len(g.queue)) + minRetryAfter}
 	}
 	wait := g.expectedWait(now, w)
 	if w.request.MaxQueueWait > 0 && wait > w.request.MaxQueueWait {
-		return &Refusal{Reason: qhdecision.Busy, RetryAfter: wait + minRetryAfter}
+		return &Refusal{Reason: full, RetryAfter: wait + minRetryAfter}
 	}
 	if wait > g.maxUsefulWait(now, w) {
 		return &Refusal{Reason: qhdecision.Late, RetryAfter: wait + minRetryAfter}
@@ -258,11 +269,11 @@
 func (g *Guard) refuseUnservable(now time.Time) {
 	kept := g.queue[:0]
 	for _, w := range g.queue {
-		start := now.Add(g.expectedWaitBehind(len(kept)))
+		start := now.Add(g.expectedWaitBehind(now, len(kept)))
 		// A call may be faster than average: it is refused only if less than
 		// half of the average service time would be left.
 		if !w.deadline.IsZero() && start.Add(g.serviceTimeOf(w.request.Route)/2).After(w.deadline) {
-			w.refuse(&Refusal{Reason: qhdecision.Late, RetryAfter: g.expectedWaitBehind(len(g.queue)) + minRetryAfter})
+			w.refuse(&Refusal{Reason: qhdecision.Late, RetryAfter: g.expectedWaitBehind(now, len(g.queue)) + minRetryAfter})
 			continue
 		}
 		kept = append(kept, w)
@@ -280,6 +291,12 @@
 	return g.meanServiceTime
 }
 
+// canAdmit reports whether a slot is free and the pacer allows a call. The lock is
+// held.
+func (g *Guard) canAdmit(now time.Time) bool {
+	return g.running < g.slots() && g.pacer.wait(now, 0) == 0
+}
+
 // slots returns the number of calls that may run now. The lock is held.
 func (g *Guard) slots() int {
 	slots := g.info.Slots
@@ -319,8 +336,16 @@
 
 // expectedWaitBehind estimates the queue wait of a call with the given number of
 // calls ahead of it. The lock is held.
-func (g *Guard) expectedWaitBehind(ahead int) time.Duration {
-	return g.meanServiceTime * time.Duration(ahead+1) / time.Duration(g.slots())
+func (g *Guard) expectedWaitBehind(now time.Time, ahead int) time.Duration {
+	slots := g.slots()
+	forSlot := g.meanServiceTime * time.Duration(ahead+1) / time.Duration(slots)
+	if !g.pacer.isLimited() {
+		return forSlot
+	}
+	if g.running+ahead < slots {
+		forSlot = 0
+	}
+	return max(forSlot, g.pacer.wait(now, ahead))
 }
 
 // occupySlot gives a slot to a call. The response to an overdue call was
@@ -328,6 +353,7 @@
 // held.
 func (g *Guard) occupySlot(request AdmissionRequest, now time.Time) *Permit {
 	g.running++
+	g.pacer.take(now)
 	g.fairness.recordAdmission(request.Priority)
 	permit := &Permit{guard: g, route: request.Route, start: now}
 	if mean := g.serviceTimeOf(request.Route); mean > 0 {
--- a/qhguard/queue.go
+++ b/qhguard/queue.go
@@ -76,22 +76,23 @@
 	return true
 }
 
-// admitQueued fills free slots from the queue and refuses calls that can no
-// longer meet their deadline. The lock is held.
+// admitQueued fills free slots from the queue, as far as the pacer allows it, and
+// refuses calls that can no longer meet their deadline. The lock is held.
 func (g *Guard) admitQueued(now time.Time) {
-	for len(g.queue) > 0 && g.running < g.slots() {
+	for len(g.queue) > 0 && g.canAdmit(now) {
 		i := g.nextWaiter(now)
 		w := g.queue[i]
 		g.queue = slices.Delete(g.queue, i, i+1)
 		// A call may be faster than average: it is refused only if less than
 		// half of the average service time is left.
 		if !w.deadline.IsZero() && now.Add(g.serviceTimeOf(w.request.Route)/2).After(w.deadline) {
-			w.refuse(&Refusal{Reason: qhdecision.Late, RetryAfter: g.expectedWaitBehind(len(g.queue)) + minRetryAfter})
+			w.refuse(&Refusal{Reason: qhdecision.Late, RetryAfter: g.expectedWaitBehind(now, len(g.queue)) + minRetryAfter})
 			continue
 		}
 		w.permit = g.occupySlot(w.request, now)
 		close(w.decided)
 	}
+	g.schedulePaced(now)
 }
 
 // nextWaiter returns the index of the call that gets the next slot. Of the
@@ -121,11 +122,11 @@
 // deadline waits behind all others. The lock is held.
 func (g *Guard) expectedWait(now time.Time, w *waiter) time.Duration {
 	if deadline := w.responseDeadline(); !deadline.IsZero() && now.After(deadline) {
-		return g.expectedWaitBehind(len(g.queue))
+		return g.expectedWaitBehind(now, len(g.queue))
 	}
 	ahead := g.countAhead(w)
 	if !g.fairness.isStarved(w.request.Priority) {
-		return g.expectedWaitBehind(ahead)
+		return g.expectedWaitBehind(now, ahead)
 	}
 	samePriority := 0
 	for _, other := range g.queue[:ahead] {
@@ -133,5 +134,5 @@
 			samePriority++
 		}
 	}
-	return g.expectedWaitBehind(samePriority)
+	return g.expectedWaitBehind(now, samePriority)
 }
--- a/qhheader/qhheader.go
+++ b/qhheader/qhheader.go
@@ -66,6 +66,8 @@
 	// NodeReachedTarget is set if the call was sent to a target, whether or not
 	// the target executed it.
 	NodeReachedTarget = InternalPrefix + "Arrived"
+	// NodeRateLimit carries the rate limit of the target that the sender knows.
+	NodeRateLimit = InternalPrefix + "Limit"
 	// NodeLoad carries the number of running and queued calls of the target.
 	NodeLoad = InternalPrefix + "Load"
 )
--- a/qhproxy/limits.go
+++ b/qhproxy/limits.go
@@ -3,11 +3,13 @@
 import (
 	"maps"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhid"
 )
 
@@ -37,6 +39,14 @@
 	return &targetLimits{limits: make(map[qhid.Target]namedLimit)}
 }
 
+// get returns the known rate limit of a target, or false.
+func (l *targetLimits) get(target qhid.Target) (qhid.CallsPerSecond, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit, ok := l.limits[target]
+	return limit.rate, ok
+}
+
 // record records whether a response of the target named a rate limit. It returns the
 // limit that was known before and whether the known limit changed.
 func (l *targetLimits) record(target qhid.Target, rate qhid.CallsPerSecond, named bool, now time.Time) (before qhid.CallsPerSecond, changed bool) {
@@ -78,3 +88,12 @@
 			zap.Float64("rate", float64(rate)), zap.Float64("before", float64(before)))
 	}
 }
+
+// setRateLimitHeader tells the target's node the known rate limit of the target, and
+// removes that of an earlier attempt.
+func (p *Proxy) setRateLimitHeader(header http.Header, target qhid.Target) {
+	delete(header, qhheader.NodeRateLimit)
+	if rate, ok := p.limits.get(target); ok {
+		header[qhheader.NodeRateLimit] = []string{strconv.FormatFloat(float64(rate), 'g', -1, 64)}
+	}
+}
--- a/qhproxy/rate_limit_test.go
+++ b/qhproxy/rate_limit_test.go
@@ -14,8 +14,10 @@
 	. "github.com/onsi/gomega"
 
 	"quetzalhaven.dev/qhconfig"
+	"quetzalhaven.dev/qhguard"
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
 )
 
 // The bound on the calls of a target that names a rate limit: within rateWindow it
@@ -115,4 +117,20 @@
 		}
 		Expect(limited.maxInWindow(rateWindow)).To(BeNumerically("<=", limited.allowed()))
 	}, Entry("of 12.5 a second", qhid.CallsPerSecond(12.5)), Entry("below 1 a second", qhid.CallsPerSecond(0.5)))
+
+	It("gets no more calls although its node has restarted and forgotten the limit", func() {
+		f := newFleet(GinkgoTB(), route)
+		a, b := f.startNode("a", "kigali-a"), f.startNode("b", "kigali-a")
+		limited := &limitedTarget{rate: 1}
+		server := f.startTarget("t1", "booking", "b", 9, limited.serve)
+		Expect(doCall(context.Background(), a, "GET", "/urns", "first", nil).body).To(Equal("whole"))
+		b.guards.Remove("t1")
+		b.guards.Put(qhguard.TargetInfo{ID: "t1", Service: "booking", Address: qhid.Address(server.Listener.Addr().String()), Slots: 9, State: qhmember.Up})
+		var calls sync.WaitGroup
+		for i := range 9 {
+			calls.Go(func() { doCall(context.Background(), a, "GET", "/urns", fmt.Sprint("r", i), nil) })
+		}
+		calls.Wait()
+		Expect(limited.maxInWindow(time.Second)).To(BeNumerically("<=", 3)) // the first one, one at once and one after a second
+	})
 })
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -68,13 +68,14 @@
 	return c.remoteZoneAttempts > maxRemoteZoneAttempts || !choice.HasCapacity
 }
 
-// rememberEarliestFree stores the endpoint in earliestFree if it was busy and
+// rememberEarliestFree stores the endpoint in earliestFree if it was full and
 // expects a free slot before the stored one. Once an endpoint of the own
 // availability zone was tried, those of other zones are not stored.
 func (c *call) rememberEarliestFree(endpoint *qhmember.Endpoint, f *failure) {
 	local := endpoint.Zone == c.proxy.Zone
 	c.triedLocalZone = c.triedLocalZone || local
-	if f.Reason == qhdecision.Busy && !f.ReachedTarget && (local || !c.triedLocalZone) && (c.earliestFree == nil || f.RetryAfter < c.earliestFreeIn) {
+	isFull := f.Reason == qhdecision.Busy || f.Reason == qhdecision.RateLimited
+	if isFull && !f.ReachedTarget && (local || !c.triedLocalZone) && (c.earliestFree == nil || f.RetryAfter < c.earliestFreeIn) {
 		c.earliestFree, c.earliestFreeIn = endpoint, f.RetryAfter
 	}
 }
@@ -230,6 +231,9 @@
 		if endpoint.Zone != c.proxy.Zone {
 			qhbalance.RecordFull(endpoint, time.Now())
 		}
+	case qhdecision.RateLimited:
+		endpoint.Stats.Refusals.Add(1)
+		qhbalance.RecordFullFor(endpoint, f.RetryAfter, time.Now())
 	case qhdecision.Leaving, qhdecision.NoTarget, qhdecision.ShutdownTimedOut:
 		endpoint.Stats.Refusals.Add(1)
 		qhbalance.RecordLeaving(endpoint, time.Now())
@@ -297,6 +301,7 @@
 		headerField{qhheader.Timeout, qhdeadline.Format(timeUntilDeadline(ctx))},
 	)
 	setAdmissionHeaders(out.header, out.admission)
+	c.proxy.setRateLimitHeader(out.header, endpoint.ID)
 	if out.body.length < 0 || out.body.length > minGatedBody {
 		// The node asks for the body once the call is admitted and its link has
 		// room, so that a refused call can be sent to another one.
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -25,6 +25,9 @@
 	firstByteTimeout time.Duration
 	// caller is the service on whose VM the call originated.
 	caller qhid.Service
+	// knownRateLimit is the rate limit of the target as the sending node knows it,
+	// for a target's node that has restarted; 0 for none.
+	knownRateLimit qhid.CallsPerSecond
 	// admission is the admission request for the target's guard. The target's
 	// node sets its limits.
 	admission qhguard.AdmissionRequest
@@ -93,6 +96,9 @@
 	}
 	admission := out.admission
 	admission.Limits = p.serviceLimits(guard)
+	if out.knownRateLimit > 0 {
+		guard.AssumeRateLimit(out.knownRateLimit)
+	}
 	permit, err := guard.Admit(ctx, admission)
 	if err != nil {
 		return nil, admissionFailure(ctx, err)
@@ -111,6 +117,7 @@
 		}
 	} else {
 		p.observeLimit(target, resp.Header)
+		guard.SetRateLimit(p.limits.get(target))
 		f = p.checkResponse(out, resp)
 	}
 	if f != nil {
