qhproxy, qhannounce, qhmember: Use a target no more that says in a response that it leaves

The target's node then treats the target as if it had announced leaving, for that incarnation, and announces it so; queued calls end as with an announcement. Each node that passes such a response on remembers it for the target's incarnation, so that a restart of the target's node does not bring it back. Entries carry the target's start time for that. Weighed: a mark of 3 s as after a refusal, which a restarted node outlives. The stand-in target can name a limit and leaving, and sends its start time.

--- a/qhannounce/qhannounce.go
+++ b/qhannounce/qhannounce.go
@@ -61,6 +61,8 @@
 	Announcement
 	// LastSeen is when the target last announced itself.
 	LastSeen time.Time `json:"seen"`
+	// saidLeaving is set once a response of the target said that it is leaving.
+	saidLeaving bool
 }
 
 // Options configures a Registry.
@@ -122,7 +124,11 @@
 	if !known && len(r.targets) >= MaxTargets {
 		return qherr.New(qherr.Refused, nil, "stop a target of this VM first", "target %q exceeds the maximum of %d targets per node", id, MaxTargets)
 	}
-	r.targets[id] = Target{ID: id, Announcement: announcement, LastSeen: r.Now()}
+	saidLeaving := before.saidLeaving && announcement.StartedAt != 0 && announcement.StartedAt == before.StartedAt
+	if saidLeaving {
+		announcement.State = qhmember.Leaving
+	}
+	r.targets[id] = Target{ID: id, Announcement: announcement, LastSeen: r.Now(), saidLeaving: saidLeaving}
 	if replaced || !known || !before.equalExceptRenewal(announcement) {
 		r.Log.Info("target announced", zap.String("target", string(id)), zap.String("service", string(announcement.Service)), zap.String("state", string(announcement.State)))
 		r.notifyChange()
@@ -209,6 +215,23 @@
 	r.notifyChange()
 }
 
+// MarkLeaving records that a response of the target said that it is leaving. That
+// holds for the incarnation of the target, whatever state it announces, or until its
+// next announcement if it does not send StartedAt.
+func (r *Registry) MarkLeaving(id qhid.Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	target, ok := r.targets[id]
+	if !ok || target.saidLeaving {
+		return
+	}
+	before := target.State
+	target.saidLeaving, target.State = true, qhmember.Leaving
+	r.targets[id] = target
+	r.Log.Info("target said in a response that it is leaving", zap.String("target", string(id)), zap.String("before", string(before)), zap.Int64("born", target.StartedAt))
+	r.notifyChange()
+}
+
 // RemoveExpired removes the targets whose announcements have expired, and the ended
 // incarnations that need not be remembered any longer.
 func (r *Registry) RemoveExpired() {
--- a/qhannounce/qhannounce_test.go
+++ b/qhannounce/qhannounce_test.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
 )
 
 var _ = Describe("Registry", func() {
@@ -59,6 +60,27 @@
 		Expect(registry.List()[0].ID).To(Equal(qhid.Target("b2")))
 	})
 
+	It("keeps a target leaving whose responses said so, until it has another incarnation", func() {
+		announcement := func(born int, seq qhid.Sequence) Announcement {
+			return Announcement{Service: "s", Address: "h:1", Slots: 1, StartedAt: int64(born), Sequence: seq}
+		}
+		state := func() qhmember.State { return registry.List()[0].State }
+		registry.MarkLeaving("b1") // not announced yet
+		Expect(registry.Put("b1", announcement(7, 1))).To(Succeed())
+		registry.MarkLeaving("b1")
+		registry.MarkLeaving("b1")
+		Expect(registry.Put("b1", announcement(7, 2))).To(Succeed())
+		Expect(state()).To(Equal(qhmember.Leaving))
+		Expect(changes).To(HaveLen(2))
+		Expect(registry.Put("b1", announcement(8, 1))).To(Succeed())
+		Expect(state()).To(Equal(qhmember.Up))
+		Expect(registry.Put("b2", Announcement{Service: "s", Address: "h:2", Slots: 1})).To(Succeed())
+		registry.MarkLeaving("b2")
+		Expect(registry.List()[1].State).To(Equal(qhmember.Leaving))
+		Expect(registry.Put("b2", Announcement{Service: "s", Address: "h:2", Slots: 1})).To(Succeed())
+		Expect(registry.List()[1].State).To(Equal(qhmember.Up)) // without StartedAt it may be another one
+	})
+
 	It("withdraws a target at once", func() {
 		send(http.MethodPut, "b1", validAnnouncement)
 		Expect(send(http.MethodDelete, "b1", "").Code).To(Equal(http.StatusNoContent))
--- a/qhdialect/qhdialect.go
+++ b/qhdialect/qhdialect.go
@@ -33,6 +33,9 @@
 	// together, or false if its response does not name them. Errors are of kind
 	// BadInput.
 	RateLimit func(header http.Header) (qhid.CallsPerSecond, bool, error)
+	// Leaving reports whether a response says that its target is leaving. Errors
+	// are of kind BadInput.
+	Leaving func(header http.Header) (bool, error)
 	// FormatRetryAfter returns the value of the Retry-After header.
 	FormatRetryAfter func(delay time.Duration) string
 	// RequiresRequestID is set if every call must carry a request ID, which
@@ -54,6 +57,19 @@
 	return qhid.CallsPerSecond(rate), true, nil
 }
 
+// ParseLeaving parses the mark of a target that is leaving. An empty text is no mark.
+// Errors are of kind BadInput.
+func ParseLeaving(text string) (bool, error) {
+	switch text {
+	case "", "0":
+		return false, nil
+	case "1":
+		return true, nil
+	default:
+		return false, qherr.New(qherr.BadInput, nil, "send 1", "%q does not mark a leaving target", text)
+	}
+}
+
 // Default returns the native dialect, with the headers of package qhheader.
 func Default() Dialect {
 	return Dialect{
@@ -73,6 +89,7 @@
 		RateLimit: func(header http.Header) (qhid.CallsPerSecond, bool, error) {
 			return ParseRateLimit(header.Get(qhheader.RateLimit))
 		},
+		Leaving:          func(header http.Header) (bool, error) { return ParseLeaving(header.Get(qhheader.Leaving)) },
 		FormatRetryAfter: func(delay time.Duration) string { return strconv.Itoa(int(math.Ceil(delay.Seconds()))) },
 	}
 }
--- a/qhheader/qhheader.go
+++ b/qhheader/qhheader.go
@@ -16,6 +16,8 @@
 	// RateLimit carries the calls per second, such as "12.5", that a target takes
 	// from all nodes together. It is in a target's responses as long as it holds.
 	RateLimit = "Call-Limit"
+	// Leaving is "1" in the responses of a target that is leaving.
+	Leaving = "Target-Leaving"
 	// Outcome carries what is known about the execution of a call that a node
 	// answers itself: OutcomeNotExecuted, OutcomeUnknown or OutcomeDone.
 	Outcome = "Qh-Outcome"
--- a/qhmember/entry.go
+++ b/qhmember/entry.go
@@ -48,6 +48,9 @@
 	State   State        `json:"state"`
 	// Slots is the number of calls that the target runs concurrently.
 	Slots int `json:"slots"`
+	// StartedAt identifies the incarnation of the target by when it started, in
+	// milliseconds of the Unix epoch; 0 if unknown.
+	StartedAt int64 `json:"born,omitempty"`
 }
 
 // Endpoint is a target as this node knows it from the entry of the target's node,
--- a/qhmember/table.go
+++ b/qhmember/table.go
@@ -44,6 +44,8 @@
 	// their entries in that view, or an entry without a node id if the view has
 	// none.
 	pending map[qhid.Node]Entry
+	// leaving has the targets that said in a response that they are leaving.
+	leaving map[qhid.Target]leavingTarget
 	// lastRefuted is when this node last refuted an entry.
 	lastRefuted time.Time
 	// viewBuilt is when the current view was built, viewCost how long that took.
@@ -64,6 +66,7 @@
 		addresses:    make(map[qhid.Address]qhid.Node),
 		checksums:    make(map[qhid.Zone]Checksum),
 		pending:      make(map[qhid.Node]Entry),
+		leaving:      make(map[qhid.Target]leavingTarget),
 	}
 	t.view.Store(&View{Services: make(map[qhid.Service][]*Endpoint)})
 	if t.self != "" {
--- a/qhmember/view.go
+++ b/qhmember/view.go
@@ -123,7 +123,7 @@
 		NodeDown:        entry.State == Down,
 		Incarnation:     entry.Incarnation,
 	}
-	if entry.State == Leaving {
+	if entry.State == Leaving || t.isLeaving(target) {
 		endpoint.State = Leaving
 	}
 	if old != nil && old.Node == entry.Node && old.Incarnation == entry.Incarnation {
--- a/qhnode/qhserve/node.go
+++ b/qhnode/qhserve/node.go
@@ -172,21 +172,22 @@
 	n.metrics.GetOrCreateGauge("qh_targets_queued", func() float64 { return float64(n.totalLoad().Queued) })
 	cleanup.add(closeGuards)
 	proxy, stopProxy := qhproxy.New(qhproxy.Options{
-		Self:          n.Settings.ID,
-		Zone:          n.Settings.Zone,
-		Settings:      n.callSettings(),
-		Snapshot:      n.holder.Current,
-		View:          n.members.View,
-		LocalGuard:    guards.Get,
-		Decisions:     n.decisions,
-		Log:           n.Log,
-		Metrics:       n.metrics,
-		Store:         store,
-		Dialect:       n.dialect(),
-		LocalService:  n.localService,
-		RetryBudgets:  n.retryBudgets(),
-		OnNodeVersion: n.onNodeVersion,
-		LinkSpeed:     n.Settings.Bounds.LinkSpeed,
+		Self:            n.Settings.ID,
+		Zone:            n.Settings.Zone,
+		Settings:        n.callSettings(),
+		Snapshot:        n.holder.Current,
+		View:            n.members.View,
+		LocalGuard:      guards.Get,
+		Decisions:       n.decisions,
+		Log:             n.Log,
+		Metrics:         n.metrics,
+		Store:           store,
+		Dialect:         n.dialect(),
+		LocalService:    n.localService,
+		RetryBudgets:    n.retryBudgets(),
+		OnNodeVersion:   n.onNodeVersion,
+		LinkSpeed:       n.Settings.Bounds.LinkSpeed,
+		OnTargetLeaving: n.targetLeaving,
 	})
 	n.proxy = proxy
 	cleanup.add(stopProxy)
--- a/qhnode/qhserve/targets.go
+++ b/qhnode/qhserve/targets.go
@@ -37,11 +37,17 @@
 	defer n.mu.Unlock()
 	announced := make([]qhmember.AnnouncedTarget, 0, len(targets))
 	for _, target := range targets {
-		announced = append(announced, qhmember.AnnouncedTarget{ID: target.ID, Service: target.Service, State: target.State, Slots: target.Slots})
+		announced = append(announced, qhmember.AnnouncedTarget{ID: target.ID, Service: target.Service, State: target.State, Slots: target.Slots, StartedAt: target.StartedAt})
 	}
 	n.source.announce(n.state, announced)
 }
 
+// targetLeaving records that a response of a target said that it is leaving.
+func (n *Node) targetLeaving(target qhid.Target) {
+	n.members.MarkTargetLeaving(target)
+	n.targets.MarkLeaving(target)
+}
+
 // announceLeaving sets the node's state to leaving and announces it.
 func (n *Node) announceLeaving() {
 	n.mu.Lock()
--- a/qhproxy/limits.go
+++ b/qhproxy/limits.go
@@ -75,6 +75,18 @@
 	return len(l.limits)
 }
 
+// observeTarget reads what the headers of a response say about its target.
+func (p *Proxy) observeTarget(target qhid.Target, header http.Header) {
+	p.observeLimit(target, header)
+	leaving, err := p.Dialect.Leaving(header)
+	if err != nil {
+		p.Log.Warn("mark of a leaving target cannot be decoded and is ignored", zap.String("target", string(target)), zap.Error(err))
+	}
+	if leaving && p.OnTargetLeaving != nil {
+		p.OnTargetLeaving(target)
+	}
+}
+
 // observeLimit reads the rate limit that a response of a target names, and logs
 // changes.
 func (p *Proxy) observeLimit(target qhid.Target, header http.Header) {
--- a/qhproxy/proxy.go
+++ b/qhproxy/proxy.go
@@ -68,6 +68,9 @@
 	// OnNodeVersion is called with the configuration version that another node
 	// reports. It may be nil.
 	OnNodeVersion func(version qhid.Version, node qhid.Node)
+	// OnTargetLeaving is called for each response of a target that says that the
+	// target is leaving. It may be nil.
+	OnTargetLeaving func(target qhid.Target)
 	// Store keeps the claims on idempotency keys. If it is nil, calls with a key
 	// are refused on routes with the retry policy keyed.
 	Store *qhplatform.Store
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -318,7 +318,7 @@
 	if outcome := resp.Header.Get(qhheader.Outcome); outcome != "" {
 		return nil, parseFailure(resp, outcome)
 	}
-	c.proxy.observeLimit(endpoint.ID, resp.Header)
+	c.proxy.observeTarget(endpoint.ID, resp.Header)
 	micros, _ := strconv.ParseInt(resp.Header.Get(qhheader.NodeResponseTime), 10, 64) // 0 if the header is missing
 	removeReservedHeaders(resp.Header)
 	return &targetResponse{Response: resp, release: func() {}, responseTime: time.Duration(micros) * time.Microsecond}, nil
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -116,7 +116,7 @@
 			guard.MarkUnreachable()
 		}
 	} else {
-		p.observeLimit(target, resp.Header)
+		p.observeTarget(target, resp.Header)
 		guard.SetRateLimit(p.limits.get(target))
 		f = p.checkResponse(out, resp)
 	}
--- a/qhsite/shutdown_test.go
+++ b/qhsite/shutdown_test.go
@@ -89,6 +89,34 @@
 		expectAtMostOnce(calls, executions)
 	}, SpecTimeout(specTimeout))
 
+	It("gets no new calls after its responses say that it is leaving, whatever it announces", func(ctx SpecContext) {
+		f := newServingFleet(ctx, slowTargets)
+		load := startLoad(ctx, f.Nodes, certificates)
+		load.waitCalls(callsPerPhase)
+		leaving := f.target("arrangements-2")
+		Expect(leaving.SetFaults(ctx, qhsite.TargetFaults{SayLeaving: true})).To(Succeed())
+		expectNoNewCalls(ctx, leaving, load)
+		before, err := leaving.Record(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		kill(leaving.Node)
+		restart(leaving.Node) // it has forgotten what the target said, the others have not
+		load.waitCalls(callsPerPhase)
+		after, err := leaving.Record(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(after.Executed - before.Executed).To(BeNumerically("<=", callerCount)) // those of the restarted node's own callers
+		expectNoNewCalls(ctx, leaving, load)
+		Expect(leaving.SetFaults(ctx, qhsite.TargetFaults{})).To(Succeed())
+		Expect(leaving.Kill()).To(Succeed())
+		Expect(leaving.Start()).To(Succeed())
+		Eventually(func(g Gomega) {
+			load.waitCalls(callsPerPhase)
+			record, err := leaving.Record(ctx)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(record.Executed).To(BeNumerically(">", 0))
+		}, eventTimeout).Should(Succeed())
+		expectIntactResponses(load.finish())
+	}, SpecTimeout(specTimeout))
+
 	It("gets no new calls after an operator retires it", func(ctx SpecContext) {
 		f := newServingFleet(ctx, slowTargets)
 		load := startLoad(ctx, f.Nodes, lookups)
--- a/qhsite/target.go
+++ b/qhsite/target.go
@@ -45,6 +45,11 @@
 	RemainingCalls int `json:"next,omitempty"`
 	// ServiceTime replaces the service time of a call if it is not 0.
 	ServiceTime qhconfig.Duration `json:"time,omitempty"`
+	// RateLimit is named in each response as the calls per second that the target
+	// takes; 0 names none.
+	RateLimit qhid.CallsPerSecond `json:"limit,omitempty"`
+	// SayLeaving says in each response that the target is leaving.
+	SayLeaving bool `json:"leaving,omitempty"`
 	// Hang executes the call without end and never responds.
 	Hang bool `json:"hang,omitempty"`
 }
--- a/qhstand/qhtarget/announce.go
+++ b/qhstand/qhtarget/announce.go
@@ -31,6 +31,10 @@
 	Slots          int            `json:"slots"`
 	MaxConnections int            `json:"connections"`
 	State          qhmember.State `json:"state"`
+	// StartedAt is when the target started, in milliseconds of the Unix epoch, and
+	// Sequence orders the announcements since then.
+	StartedAt int64         `json:"born"`
+	Sequence  qhid.Sequence `json:"seq"`
 }
 
 // Announcer renews the announcement of a target until Withdraw is called.
@@ -39,13 +43,16 @@
 	address     qhid.Address
 	client      *http.Client
 	stopRenewal func()
+	startedAt   int64
+	// sequence is that of the last announcement. Only renew uses it.
+	sequence qhid.Sequence
 }
 
 // Announce announces the target with the address at once and then every
 // renewalPeriod. If Options.Node is empty, it does nothing. The caller must call
 // Withdraw.
 func (t *Target) Announce(ctx context.Context, address qhid.Address) *Announcer {
-	a := &Announcer{target: t, address: address, client: &http.Client{Transport: &http.Transport{}}, stopRenewal: func() {}}
+	a := &Announcer{target: t, address: address, client: &http.Client{Transport: &http.Transport{}}, stopRenewal: func() {}, startedAt: time.Now().UnixMilli()}
 	if t.Node == "" {
 		return a
 	}
@@ -74,7 +81,10 @@
 }
 
 func (a *Announcer) announce(ctx context.Context) error {
+	a.sequence++
 	body, err := json.Marshal(AnnounceRequest{
+		StartedAt:      a.startedAt,
+		Sequence:       a.sequence,
 		Service:        a.target.Service,
 		Address:        a.address,
 		Slots:          a.target.Slots,
--- a/qhstand/qhtarget/echo.go
+++ b/qhstand/qhtarget/echo.go
@@ -78,6 +78,12 @@
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
 	header.Set(qhheader.RequestID, string(echo.Request))
+	if faults.RateLimit > 0 {
+		header.Set(qhheader.RateLimit, strconv.FormatFloat(float64(faults.RateLimit), 'f', -1, 64))
+	}
+	if faults.SayLeaving {
+		header.Set(qhheader.Leaving, "1")
+	}
 	if faults.Chunked {
 		header.Set("Trailer", DigestTrailer)
 	} else {
--- a/qhstand/qhtarget/faults.go
+++ b/qhstand/qhtarget/faults.go
@@ -31,6 +31,11 @@
 	// Chunked sends the response in chunks, with its digest in the trailer
 	// DigestTrailer.
 	Chunked bool `json:"chunked,omitempty"`
+	// RateLimit is named in each response as the calls per second that the target
+	// takes; 0 names none.
+	RateLimit qhid.CallsPerSecond `json:"limit,omitempty"`
+	// SayLeaving says in each response that the target is leaving.
+	SayLeaving bool `json:"leaving,omitempty"`
 	// ReportedHealth replaces the status in the health report; empty reports the
 	// actual state.
 	ReportedHealth string `json:"health,omitempty"`
