qhfeed: Drop nodes that only a peer had and that are gone

What callers saw: a node that got entries from a peer, in an outage of the store or when it started, could keep those of nodes that were gone for good, and sent calls to them. Cause: such an entry is in no later listing and in no change, so that nothing removes it; a probe of the own zone gives up on a node without an entry in the store. Run: go test -race ./qhfeed, the specs of entries (33 s).

--- a/qhfeed/nodes.go
+++ b/qhfeed/nodes.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -132,20 +133,16 @@
 	}
 }
 
-// removeUnlisted removes the nodes that a listing does not have, at once or, after a
-// restore of the store, later.
+// removeUnlisted removes the nodes that a listing does not have. After a restore of
+// the store it leaves that to removeWithoutEntry.
 func (f *Feed) removeUnlisted(listed map[qhid.Node]bool, restored bool) {
 	f.mu.Lock()
 	maps.DeleteFunc(f.entryRevisions, func(node qhid.Node, _ qhplatform.Revision) bool { return !listed[node] })
 	if restored {
 		f.rewriteEnd = time.Now().Add(rewriteTimeout)
 	}
-	isRewriting := time.Now().Before(f.rewriteEnd)
 	f.mu.Unlock()
-	if restored {
-		f.group.Go(f.removeNotRewritten)
-	}
-	if isRewriting {
+	if f.isRewriting() {
 		return
 	}
 	for _, entry := range f.unlistedMembers() {
@@ -163,23 +160,30 @@
 	})
 }
 
-// removeNotRewritten removes the nodes that have not written their entries again by
-// rewriteTimeout. One that responds to a probe cannot reach the store, and is kept
-// for another rewriteTimeout.
-func (f *Feed) removeNotRewritten(ctx context.Context) {
-	for qhgroup.Sleep(ctx, rewriteTimeout) {
-		unlisted := f.unlistedMembers()
-		if len(unlisted) == 0 {
-			return
+// removeWithoutEntry removes the nodes that have no entry in the store and do not
+// respond to a probe: those that have not written it again after a restore of the
+// store, and those that a peer still had. A node that responds cannot reach the store.
+func (f *Feed) removeWithoutEntry(ctx context.Context) {
+	for qhgroup.Sleep(ctx, rewriteTimeout/2+rand.N(rewriteTimeout/2)) {
+		if !f.nodes.healthy() || f.isRewriting() {
+			continue
 		}
-		for _, entry := range unlisted {
+		for _, entry := range f.unlistedMembers() {
 			if !f.probe(ctx, entry) && ctx.Err() == nil {
-				f.removeMember(entry.Node, "its entry was not written again after a restore of the store")
+				f.removeMember(entry.Node, "it has no entry in the store and did not respond to a probe")
 			}
 		}
 	}
 }
 
+// isRewriting reports whether nodes may still write their entries again after a
+// restore of the store.
+func (f *Feed) isRewriting() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Now().Before(f.rewriteEnd)
+}
+
 // needsWrite reports whether this node's entry differs from the one in the store.
 func (f *Feed) needsWrite(own qhmember.Entry) bool {
 	f.mu.Lock()
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -125,6 +125,7 @@
 	group.Go(f.publish)
 	group.Go(f.exchangeWithPeers)
 	group.Go(f.removeDownNodes)
+	group.Go(f.removeWithoutEntry)
 	return f, stop
 }
 
--- a/qhfeed/restore_nodes_test.go
+++ b/qhfeed/restore_nodes_test.go
@@ -144,4 +144,16 @@
 		Eventually(a.feed.knownEra).WithTimeout(eventuallyTimeout).Should(BeEquivalentTo(2))
 		waitFor(storedTargets("a"))
 	})
+
+	It("of nodes that are gone are dropped if only a peer had them", func() {
+		a := startNode("a", store)
+		Eventually(a.feed.Ready()).WithTimeout(eventuallyTimeout).Should(BeClosed())
+		gone := qhmember.Entry{
+			Node: "gone", Zone: "kigali-b", PeerAddress: "127.0.0.1:1", CallAddress: "127.0.0.1:1", Incarnation: 1, Sequence: 1, State: qhmember.Up,
+			Targets: []qhmember.AnnouncedTarget{{ID: "t1", Service: "booking", State: qhmember.Up, Slots: 9}},
+		}
+		a.feed.applyExchange(exchangeMessage{Entries: []qhmember.Entry{gone}})
+		Expect(a.knownTargets()).To(ConsistOf(qhid.Target("t1")))
+		waitFor(a.knownTargets)
+	})
 })
