qhannounce: Remember a withdrawal that comes before the target is known

Cause: the node had just started when the target deregistered. It did not know the target, and the message has no start time, so that nothing was remembered; a heartbeat that came seconds late then announced the target as up. Change: a withdrawal of an unknown target without a start time ends all its incarnations that have started by now. Left: a node that acknowledged a withdrawal and is then restarted has forgotten it, and takes a late heartbeat for a new target. Run: 'ignores delayed announcements of a target that was withdrawn before it was known' failed before (the target was listed) and passes; go test ./qhannounce ./platform ./qhnode/... passed.

--- a/qhannounce/qhannounce.go
+++ b/qhannounce/qhannounce.go
@@ -186,11 +186,15 @@
 }
 
 // Withdraw removes a target for its incarnation that started at startedAt; 0 if that
-// is unknown. It has no effect if a later incarnation is registered. Delayed
-// announcements of the removed incarnation are ignored.
+// is unknown, which stands for all that have started by now. It has no effect if a
+// later incarnation is registered. Delayed announcements of the removed incarnation
+// are ignored, also if the target is not registered, as after a restart of the node.
 func (r *Registry) Withdraw(id qhid.Target, startedAt int64) {
 	r.mu.Lock()
 	known, ok := r.targets[id]
+	if !ok && startedAt == 0 {
+		startedAt = r.Now().UnixMilli() // the target has the clock of this VM
+	}
 	outdated := ok && startedAt != 0 && startedAt < known.StartedAt
 	if !ok && startedAt > r.ended[id].startedAt {
 		r.ended[id] = endedIncarnation{startedAt: startedAt, endedAt: r.Now()}
--- a/qhannounce/qhannounce_test.go
+++ b/qhannounce/qhannounce_test.go
@@ -81,6 +81,17 @@
 		Expect(registry.List()[1].State).To(Equal(qhmember.Up)) // without StartedAt it may be another one
 	})
 
+	It("ignores delayed announcements of a target that was withdrawn before it was known", func() {
+		announcement := Announcement{Service: "s", Address: "h:1", Slots: 1, StartedAt: now.Add(-time.Minute).UnixMilli(), Sequence: 9}
+		registry.Withdraw("b1", 0)
+		now = now.Add(3 * time.Second)
+		Expect(registry.Put("b1", announcement)).To(Succeed())
+		Expect(registry.List()).To(BeEmpty())
+		announcement.StartedAt = now.UnixMilli()
+		Expect(registry.Put("b1", announcement)).To(Succeed())
+		Expect(registry.List()).To(HaveLen(1))
+	})
+
 	It("withdraws a target at once", func() {
 		send(http.MethodPut, "b1", validAnnouncement)
 		Expect(send(http.MethodDelete, "b1", "").Code).To(Equal(http.StatusNoContent))
