--- a/qhguard/guard.go
+++ b/qhguard/guard.go
@@ -1,8 +1,9 @@
 // Package qhguard does admission control for the targets on the node's VM. Each
 // target has at most as many admitted calls as it has slots, not counting overdue
 // ones (see reclaimFactor), and no more calls a second than the rate limit that it
-// names; further calls wait in a bounded queue ordered by priority and deadline. Every call to a target passes through its guard, so a
-// refused call is known not to have been executed.
+// names; further calls wait in a bounded queue ordered by priority and deadline.
+// Every call to a target passes through its guard, so a refused call is known not to
+// have been executed.
 package qhguard
 
 import (
--- a/qhguard/rate_limit.go
+++ b/qhguard/rate_limit.go
@@ -34,12 +34,11 @@
 		g.paceTimer.Stop()
 		g.paceTimer = nil
 	}
-	switch {
-	case !limited:
-		g.pacer.unlimit()
-	default:
+	if limited {
 		g.pacer.limit(rate, now)
 		g.refuseUnservable(now)
+	} else {
+		g.pacer.unlimit()
 	}
 	g.admitQueued(now)
 }
