--- a/qhmember/leaving.go
+++ b/qhmember/leaving.go
@@ -8,7 +8,7 @@
 )
 
 // leavingMemory is how long it is remembered that an incarnation of a target is
-// leaving. It ends sooner than that.
+// leaving. A leaving target ends sooner than that.
 const leavingMemory = 5 * time.Minute
 
 // leavingTarget is an incarnation of a target that said that it is leaving.
