qhfeed: Log how long a source was silent when a watch fails

The lines of a failed watch could not tell a store that does not respond from a connection that became silent before the watch ended. Options also takes the client for requests to other nodes, so that a test can have a network of its own.

--- a/qhfeed/exchange.go
+++ b/qhfeed/exchange.go
@@ -164,7 +164,7 @@
 	defer cancel()
 	askedAt := f.Proof.Now()
 	message := exchangeMessage{Version: f.Holder.Version(), Checksum: f.Members.Checksum(), Entries: []qhmember.Entry{f.Members.Self()}}
-	response, err := post[exchangeMessage](ctx, f.client, address, exchangePath, message)
+	response, err := post[exchangeMessage](ctx, f.PeerClient, address, exchangePath, message)
 	if err != nil {
 		f.Log.Info("exchange with peer failed", zap.String("address", string(address)), zap.Error(err))
 		return
--- a/qhfeed/probe.go
+++ b/qhfeed/probe.go
@@ -80,7 +80,7 @@
 func (f *Feed) probe(ctx context.Context, entry qhmember.Entry) bool {
 	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
 	defer cancel()
-	_, err := post[struct{}](ctx, f.client, entry.PeerAddress, noticePath, versionNotice{})
+	_, err := post[struct{}](ctx, f.PeerClient, entry.PeerAddress, noticePath, versionNotice{})
 	return err == nil
 }
 
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -33,8 +33,8 @@
 // entryPrefix is the key prefix of the nodes' entries in the store.
 const entryPrefix qhplatform.Key = "qhnodes/"
 
-// Options configures New. All fields but ConvergenceLimit and ProbeInterval are
-// required.
+// Options configures New. All fields but those that name a
+// default are required.
 type Options struct {
 	// ConfigKey is the key of the object that holds the configuration.
 	ConfigKey qhplatform.Key
@@ -61,15 +61,16 @@
 	// ProbeInterval is the mean time between two probes of the nodes of this node's
 	// availability zone; 5 s if it is 0.
 	ProbeInterval time.Duration
-	Log           *zap.Logger
+	// PeerClient sends the requests to other nodes; that of NewPeerClient if it is nil.
+	PeerClient *http.Client
+	Log        *zap.Logger
 	Metrics       *metrics.Set
 }
 
 // Feed keeps the configuration and the member table of one node up to date.
 type Feed struct {
 	Options
-	group  *qhgroup.Group
-	client *http.Client
+	group *qhgroup.Group
 	// config and nodes watch the configuration and the nodes' entries.
 	config, nodes *watcher
 	// rollouts watches the roll-outs; nil if there are none to watch.
@@ -121,10 +122,12 @@
 		options.Proof = qhkey.NewProof(0, qhclock.Now)
 	}
 	options.ProbeInterval = cmp.Or(options.ProbeInterval, defaultProbeInterval)
+	if options.PeerClient == nil {
+		options.PeerClient = NewPeerClient()
+	}
 	f := &Feed{
 		Options:        options,
 		group:          group,
-		client:         NewPeerClient(),
 		ready:          make(chan struct{}),
 		publishWake:    make(chan struct{}, 1),
 		entryRevisions: make(map[qhid.Node]qhplatform.Revision),
--- a/qhfeed/reader.go
+++ b/qhfeed/reader.go
@@ -98,11 +98,12 @@
 
 // skipReader skips a failed reader for readerSkipTime, and restarts all watches, so
 // that none continues through it.
-func (f *Feed) skipReader(reader qhid.Node, watcherName string, err error) {
+func (f *Feed) skipReader(reader qhid.Node, w *watcher, err error) {
 	f.mu.Lock()
 	f.skippedUntil[reader] = time.Now().Add(readerSkipTime)
 	f.mu.Unlock()
-	f.Log.Info("skipping failed reader", zap.String("member", string(reader)), zap.String("what", watcherName), zap.Duration("for", readerSkipTime), zap.Error(err))
+	f.Log.Info("skipping failed reader", zap.String("member", string(reader)), zap.String("what", w.name), zap.Duration("for", readerSkipTime),
+		zap.Duration("since_response", w.sinceResponse()), zap.Error(err))
 	f.restartWatches(nil)
 }
 
@@ -168,7 +169,7 @@
 func (f *Feed) notifyReader(ctx context.Context, reader qhmember.Entry) {
 	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
 	defer cancel()
-	if _, err := post[struct{}](ctx, f.client, reader.PeerAddress, noticePath, versionNotice{Version: f.Holder.Version(), Era: f.knownEra()}); err != nil {
+	if _, err := post[struct{}](ctx, f.PeerClient, reader.PeerAddress, noticePath, versionNotice{Version: f.Holder.Version(), Era: f.knownEra()}); err != nil {
 		f.Log.Info("cannot notify reader of newer version; it will learn the version from calls", zap.String("member", string(reader.Node)), zap.Error(err))
 	}
 }
@@ -198,7 +199,7 @@
 func (f *Feed) requestVersion(ctx context.Context, peer qhmember.Entry) (versionNotice, error) {
 	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
 	defer cancel()
-	return post[versionNotice](ctx, f.client, peer.PeerAddress, noticePath, versionNotice{Reply: true})
+	return post[versionNotice](ctx, f.PeerClient, peer.PeerAddress, noticePath, versionNotice{Reply: true})
 }
 
 // nearPeer returns a random other node that is up, of this node's zone if there is
--- a/qhfeed/reader_test.go
+++ b/qhfeed/reader_test.go
@@ -152,7 +152,8 @@
 		readers := zone.chosenReaders()
 		Expect(readers[:minReaders]).To(HaveEach(BeEmpty()))
 		Expect(readers[minReaders:]).NotTo(ContainElement(BeEmpty()))
-		zone.nodes[size-1].feed.skipReader(readers[size-1], "configuration", errors.New("test failure"))
+		skipping := zone.nodes[size-1].feed
+		skipping.skipReader(readers[size-1], skipping.config, errors.New("test failure"))
 		Expect(zone.chosenReaders()[size-1]).NotTo(Or(BeEmpty(), Equal(readers[size-1])))
 	})
 
@@ -300,7 +301,7 @@
 		// Two readers are skipped, and the others accept connections but do not
 		// respond.
 		for _, reader := range zone.nodes[:2] {
-			client.feed.skipReader(reader.members.Self().Node, "configuration", errCutOff)
+			client.feed.skipReader(reader.members.Self().Node, client.feed.config, errCutOff)
 		}
 		for i, reader := range zone.nodes[2:minReaders] {
 			silent, err := net.Listen("tcp", "127.0.0.1:0")
--- a/qhfeed/restore_test.go
+++ b/qhfeed/restore_test.go
@@ -125,7 +125,7 @@
 		writeConfig(store, 7)
 		haveVersion(a, 7)
 		Expect(a.feed.knownEra()).To(BeEquivalentTo(2))
-		response, err := post[struct{}](context.Background(), a.feed.client, b.members.Self().PeerAddress, noticePath, versionNotice{Era: 2})
+		response, err := post[struct{}](context.Background(), a.feed.PeerClient, b.members.Self().PeerAddress, noticePath, versionNotice{Era: 2})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(response).To(BeZero())
 		haveVersion(b, 7)
--- a/qhfeed/serve_watch.go
+++ b/qhfeed/serve_watch.go
@@ -254,5 +254,5 @@
 func (w *watcher) requestFromReader(ctx context.Context, reader qhmember.Entry, request watchRequest, timeout time.Duration) (watchResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return post[watchResponse](ctx, w.feed.client, reader.PeerAddress, watchPath, request)
+	return post[watchResponse](ctx, w.feed.PeerClient, reader.PeerAddress, watchPath, request)
 }
--- a/qhfeed/watcher.go
+++ b/qhfeed/watcher.go
@@ -135,7 +135,12 @@
 // watches the store itself, and the store has responded recently.
 func (w *watcher) canServeWatches() bool {
 	longest := staleFactor * w.watchWait(totalReaders(w.feed.Members.View().Entries))
-	return w.watchesStore.Load() && time.Since(time.Unix(0, w.lastResponse.Load())) < longest
+	return w.watchesStore.Load() && w.sinceResponse() < longest
+}
+
+// sinceResponse returns the age of the last response of the store or a reader.
+func (w *watcher) sinceResponse() time.Duration {
+	return time.Since(time.Unix(0, w.lastResponse.Load()))
 }
 
 // run lists the objects and then watches for changes. It lists again whenever the
@@ -349,13 +354,13 @@
 		return
 	}
 	if source.reader.Node != "" {
-		w.feed.skipReader(source.reader.Node, w.name, err)
+		w.feed.skipReader(source.reader.Node, w, err)
 		return
 	}
 	if !w.failing.Swap(true) {
 		w.watchesStore.Store(false)
 		w.cache.notify() // ends the waiting watches of clients, which then choose another reader
-		w.feed.Log.Warn("store unreachable", zap.String("what", w.name), zap.Error(err))
+		w.feed.Log.Warn("store unreachable", zap.String("what", w.name), zap.Duration("since_response", w.sinceResponse()), zap.Error(err))
 	}
 	backoff.wait(ctx)
 }
