qhfeed: Notice silent connections to the store within the convergence limit

Cause: a reader noticed a silent connection only by the watch that waited on it, up to 3 s that the store held it (20 s with many readers) and 2 s of timeout. Nobody was told after the first reader noticed, and pooled connections stayed in use after another one had failed.

Ruled out: a version that is refused or lost in a node (none was received and not in force). Not needed: a heartbeat beside the watch (a priced call each, and it does not show that the watch's own connection works).

Change: what a node last heard of the configuration is at most 0.6 of the convergence limit old, pause after a change included, and the response to a watch may begin 0.2 of it late; then the node continues on a new connection, restarts its other watches and tells the other readers what it got. The grace grows with late and missing responses, so that the watches of a slow store succeed. A timeout closes the idle connections to other nodes and of all pools to the store.

--- a/qhfeed/peer.go
+++ b/qhfeed/peer.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -52,6 +53,9 @@
 	}
 	resp, err := client.Do(httpRequest)
 	if err != nil {
+		if errors.Is(err, context.DeadlineExceeded) {
+			client.CloseIdleConnections() // they may be silent too
+		}
 		return response, qherr.New(qherr.Unavailable, err, "the node retries with another node or the store", "no response from the node")
 	}
 	defer func() { _ = resp.Body.Close() }() // the body has been read
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -64,7 +64,7 @@
 	// PeerClient sends the requests to other nodes; that of NewPeerClient if it is nil.
 	PeerClient *http.Client
 	Log        *zap.Logger
-	Metrics       *metrics.Set
+	Metrics    *metrics.Set
 }
 
 // Feed keeps the configuration and the member table of one node up to date.
@@ -101,6 +101,8 @@
 	hasLeft bool
 	// announced is set by the first Announce.
 	announced bool
+	// silentConnections counts the connections to the store that became silent.
+	silentConnections *metrics.Counter
 	// reportedEra is the latest era of the store that another reader reported.
 	reportedEra atomic.Uint64
 	// reportedVersion is the newest version that was passed to ReportVersion and
@@ -133,20 +135,19 @@
 		entryRevisions: make(map[qhid.Node]qhplatform.Revision),
 		departed:       make(map[qhid.Node]departure),
 		skippedUntil:   make(map[qhid.Node]time.Time),
+
+		silentConnections: options.Metrics.NewCounter("qh_store_silent_connections_total"),
 	}
 	f.config = f.newWatcher("configuration", prefixOf(options.ConfigKey), f.applyConfigObjects)
-	f.config.watchWait, f.config.watchInterval = configWatchWait, configWatchInterval
+	f.config.maxWait, f.config.watchInterval = f.configMaxWait, configWatchInterval
 	f.config.proves = true
-	if options.Proof.IsNeeded() {
-		f.config.watchWait = provingWatchWait
-	}
 	f.nodes = f.newWatcher("nodes", entryPrefix, f.applyNodeObjects)
-	f.nodes.watchWait, f.nodes.watchInterval = nodesWatchWait, nodesWatchInterval
+	f.nodes.maxWait, f.nodes.watchInterval = nodesMaxWait, nodesWatchInterval
 	if options.RolloutPrefix != "" {
 		f.rollouts = f.newWatcher("rollouts", options.RolloutPrefix, func(batch batch) {
 			options.OnRollouts(batch.objects, batch.isListing, batch.restored)
 		})
-		f.rollouts.watchWait, f.rollouts.watchInterval = nodesWatchWait, configWatchInterval
+		f.rollouts.maxWait, f.rollouts.watchInterval = nodesMaxWait, configWatchInterval
 		f.rollouts.readerWait = rolloutReaderWait
 	}
 	for _, w := range f.watchers() {
--- a/qhfeed/serve_watch.go
+++ b/qhfeed/serve_watch.go
@@ -20,11 +20,11 @@
 	// watchPath is the HTTP path on which a reader serves the watches of its
 	// clients.
 	watchPath = "/follow"
-	// readerWaitShare is the mean time that a reader holds a watch, and
+	// readerWaitShare is how long a reader holds a watch at most, and
 	// readerGraceShare is how much longer its response may take, both as a share of
 	// the convergence limit. After two readers in turn did not respond, there is
 	// still time to read from the store.
-	readerWaitShare  = 0.15
+	readerWaitShare  = 0.2
 	readerGraceShare = 0.15
 	// readerListTimeout bounds a listing from a reader.
 	readerListTimeout = time.Second
@@ -40,8 +40,8 @@
 type watchSource struct {
 	// reader is the reader's entry; its node id is empty for the store.
 	reader qhmember.Entry
-	// wait is the mean time that the source holds a watch.
-	wait time.Duration
+	// maxWait is how long the source holds a watch at most.
+	maxWait time.Duration
 	// askedAt is when the source was asked, on the clock of Feed.Proof.
 	askedAt qhclock.Instant
 	// proofAge is set to the age of the reader's proof when it responds; -1 if it has
@@ -52,6 +52,8 @@
 	watch func(ctx context.Context, after position, wait time.Duration) (qhplatform.Changes, error)
 }
 
+func (s watchSource) isStore() bool { return s.reader.Node == "" }
+
 // nextSource returns the source to use for the next call. Before the first listing
 // it is the store.
 func (w *watcher) nextSource() watchSource {
@@ -61,7 +63,7 @@
 		return watchSource{
 			reader:   reader,
 			proofAge: &proofAge,
-			wait:     cmp.Or(w.readerWait, time.Duration(readerWaitShare*float64(feed.ConvergenceLimit))),
+			maxWait:  cmp.Or(w.readerWait, feed.limitShare(readerWaitShare)),
 			list:     func(ctx context.Context) (qhplatform.Listing, error) { return w.listViaReader(ctx, reader, &proofAge) },
 			watch: func(ctx context.Context, after position, wait time.Duration) (qhplatform.Changes, error) {
 				return w.watchViaReader(ctx, reader, after, wait, &proofAge)
@@ -69,8 +71,8 @@
 		}
 	}
 	return watchSource{
-		wait: w.watchWait(totalReaders(feed.Members.View().Entries)),
-		list: func(ctx context.Context) (qhplatform.Listing, error) { return feed.Store.ListAt(ctx, w.prefix) },
+		maxWait: w.maxWait(totalReaders(feed.Members.View().Entries)),
+		list:    func(ctx context.Context) (qhplatform.Listing, error) { return feed.Store.ListAt(ctx, w.prefix) },
 		watch: func(ctx context.Context, after position, wait time.Duration) (qhplatform.Changes, error) {
 			return feed.Store.WatchPrefix(ctx, w.prefix, after.revision, wait)
 		},
@@ -213,7 +215,7 @@
 
 // watchViaReader waits for changes at a reader.
 func (w *watcher) watchViaReader(ctx context.Context, reader qhmember.Entry, after position, wait time.Duration, proofAge *time.Duration) (qhplatform.Changes, error) {
-	timeout := wait + time.Duration(readerGraceShare*float64(w.feed.ConvergenceLimit))
+	timeout := wait + w.feed.limitShare(readerGraceShare)
 	response, err := w.requestFromReader(ctx, reader, watchRequest{Prefix: w.prefix, After: after.revision, Era: after.era, KnownRevision: w.cache.newestRevision(), Wait: wait}, timeout)
 	if err != nil {
 		return qhplatform.Changes{}, err
--- a/qhfeed/watcher.go
+++ b/qhfeed/watcher.go
@@ -29,23 +29,31 @@
 	// arrivalFactor is the expected time for a change to arrive, as a multiple of
 	// the time of a listing.
 	arrivalFactor = 1.5
-	// staleFactor is the age of the store's last response, as a multiple of the
-	// mean watch time, from which a node no longer serves watches.
-	staleFactor = 2
-	// watchWaitPerNode is the mean length of a watch per node that watches the
-	// store. The watches of all nodes then end about this far apart, so that some
-	// node notices within this time that the store lost its watches.
-	watchWaitPerNode = 250 * time.Millisecond
-	// provingWait is the mean length of a watch that has to prove soon that the
-	// configuration is the newest.
-	provingWait = 800 * time.Millisecond
-	// rolloutReaderWait is the mean time that a reader holds a watch of roll-outs.
-	// They change rarely, and the other watches notice a failed reader sooner.
-	rolloutReaderWait = 4 * time.Second
-	// minWatchWait and maxWatchWait bound how long the store holds a watch.
-	minWatchWait = 2 * time.Second
-	maxWatchWait = 20 * time.Second
-	// resumeWait is how long the store holds the first watch after a failed call.
+	// storeWaitShare bounds the time between two responses of the store to watches of
+	// the configuration, and storeGraceShare how much later the response to a watch
+	// may begin until its connection counts as silent, both as a share of the
+	// convergence limit. What remains of it is for reading the change on a new
+	// connection and for passing it on to the clients of a reader.
+	storeWaitShare  = 0.6
+	storeGraceShare = 0.2
+	// provingWait bounds the time that the store holds a watch that has to prove soon
+	// that the configuration is the newest.
+	provingWait = time.Second
+	// nodesWaitPerNode is how long the store holds a watch of the nodes' entries per
+	// node that watches it, between minNodesWait and maxNodesWait. The watch of the
+	// configuration notices a silent connection or a lost watch sooner, and then
+	// restarts the others.
+	nodesWaitPerNode = 600 * time.Millisecond
+	minNodesWait     = 5 * time.Second
+	maxNodesWait     = 24 * time.Second
+	// rolloutReaderWait is how long a reader holds a watch of roll-outs. They change
+	// rarely, and the other watches notice a failed reader sooner.
+	rolloutReaderWait = 5 * time.Second
+	// minWaitShare is the shortest time that a source holds a watch, as a share of
+	// the longest. The time is random, so that the watches of the nodes do not end
+	// together.
+	minWaitShare = 2.0 / 3
+	// resumeWait is how long the store holds the first watch after a failed one.
 	// Its response tells soon whether the store was restored meanwhile.
 	resumeWait = 10 * time.Millisecond
 	// minBackoff and maxBackoff bound the mean of the random backoff after a failed
@@ -97,12 +105,17 @@
 	// lastResponse is the time of the last successful call to the store or a
 	// reader, in Unix nanoseconds.
 	lastResponse atomic.Int64
-	// watchWait returns how long the store holds a watch, given the number of nodes
-	// that watch it.
-	watchWait func(nodes int) time.Duration
+	// maxWait returns how long the store holds a watch at most, given the number of
+	// nodes that watch it.
+	maxWait func(nodes int) time.Duration
+	// grace is the time by which the store's responses may be late.
+	grace *responseGrace
+	// reconnecting is set from the time that a connection to the store was silent
+	// until the next response. Only run uses it.
+	reconnecting bool
 	// proves is set if the objects are the configuration, whose age Feed.Proof tells.
 	proves bool
-	// readerWait is the mean time that a reader holds a watch; 0 for the default.
+	// readerWait is how long a reader holds a watch at most; 0 for the default.
 	readerWait time.Duration
 	// watchInterval is the minimum time between two watches. Changes that come
 	// within it share one call.
@@ -118,6 +131,7 @@
 
 func (f *Feed) newWatcher(name string, prefix qhplatform.Key, apply func(batch)) *watcher {
 	w := &watcher{feed: f, name: name, prefix: prefix, apply: apply, cache: newObjectCache(), restartWatch: make(chan struct{}, 1)}
+	w.grace = newResponseGrace(f.limitShare(storeGraceShare))
 	f.Metrics.NewGauge(`qh_store_era{what="`+name+`"}`, func() float64 { return float64(w.era.Load()) })
 	f.Metrics.NewGauge(`qh_store_revision{what="`+name+`"}`, func() float64 { return float64(w.revision.Load()) })
 	f.Metrics.NewGauge(`qh_store_followed{what="`+name+`"}`, func() float64 {
@@ -132,9 +146,10 @@
 func (w *watcher) healthy() bool { return w.listed.Load() && !w.failing.Load() }
 
 // canServeWatches reports whether this node may serve the watches of other nodes: it
-// watches the store itself, and the store has responded recently.
+// watches the store itself, and the last response of the store is not older than after
+// a watch on a silent connection and a second one on a new connection.
 func (w *watcher) canServeWatches() bool {
-	longest := staleFactor * w.watchWait(totalReaders(w.feed.Members.View().Entries))
+	longest := w.maxWait(totalReaders(w.feed.Members.View().Entries)) + 2*w.grace.allowed()
 	return w.watchesStore.Load() && w.sinceResponse() < longest
 }
 
@@ -169,8 +184,8 @@
 		w.restored = false
 		before := w.feed.Holder.Version()
 		w.applyAndMeasure(batch{objects: listing.Objects, revision: listing.Revision, isListing: true, restored: afterRestore})
-		if w.listed.Swap(true) && w.watchesStore.Load() && (afterRestore || w.feed.Holder.Version() > before) {
-			w.feed.group.Go(w.feed.notifyReaders)
+		if w.listed.Swap(true) && (afterRestore || w.feed.Holder.Version() > before) {
+			w.notifyReaders()
 		}
 		w.confirm(source)
 		w.feed.checkReady()
@@ -185,7 +200,7 @@
 	w.feed.Log.Info("objects listed", zap.String("what", w.name), zap.String("reader", string(source.reader.Node)),
 		zap.Uint64("era", uint64(next.era)), zap.Uint64("revision", uint64(next.revision)),
 		zap.Uint64("known_era", uint64(w.position.era)), zap.Uint64("known", uint64(w.position.revision)), zap.Int("objects", len(listing.Objects)))
-	switch w.position.compareListing(next, source.reader.Node == "") {
+	switch w.position.compareListing(next, source.isStore()) {
 	case restored:
 		w.recordRestore(next)
 	case precedes:
@@ -228,6 +243,10 @@
 		if ctx.Err() == nil && errors.Is(err, errWatchRestarted) {
 			continue
 		}
+		if ctx.Err() == nil && errors.Is(err, errSilent) && !w.reconnecting {
+			w.reconnect()
+			continue
+		}
 		if qherr.Is(err, qherr.Conflict) {
 			w.feed.Log.Info("store history compacted, listing again", zap.String("what", w.name), zap.Uint64("revision", uint64(w.position.revision)))
 			w.feed.restartWatches(w)
@@ -250,8 +269,14 @@
 		w.recordResponse(source)
 		w.setPosition(w.position.advance(next))
 		w.cache.add(changes.Objects, w.position)
+		reconnected := w.reconnecting
+		w.reconnecting = false
 		if len(changes.Objects) > 0 {
+			before := w.feed.Holder.Version()
 			w.applyAndMeasure(batch{objects: changes.Objects, revision: changes.Revision})
+			if reconnected && w.feed.Holder.Version() > before {
+				w.notifyReaders()
+			}
 			w.confirm(source)
 			pause := time.Duration(w.pause.Load())
 			w.pauseEnd.Store(time.Now().Add(pause).UnixNano())
@@ -262,23 +287,37 @@
 	}
 }
 
+// reconnect continues after a connection to the store was silent. The connections of
+// the other watches may be silent too.
+func (w *watcher) reconnect() {
+	w.reconnecting = true
+	w.grace.recordMiss()
+	w.feed.Log.Warn("connection to the store is silent, continuing on a new one", zap.String("what", w.name), zap.Duration("since_response", w.sinceResponse()))
+	w.feed.silentConnections.Inc()
+	w.feed.restartWatches(w)
+}
+
+// notifyReaders notifies the other readers of the version in force if it came from the
+// store: the connections of their watches may be silent, or the store lost the watches.
+func (w *watcher) notifyReaders() {
+	if w.watchesStore.Load() {
+		w.feed.group.Go(w.feed.notifyReaders)
+	}
+}
+
 // confirm records that the configuration in force was the newest when the source was
 // asked, less the age of a reader's own proof.
 func (w *watcher) confirm(source watchSource) {
 	if !w.proves || w.feed.configUnusable.Load() {
 		return
 	}
-	if source.reader.Node == "" {
+	if source.isStore() {
 		w.feed.Proof.Confirm(source.askedAt)
 	} else if source.proofAge != nil && *source.proofAge >= 0 {
 		w.feed.Proof.Confirm(source.askedAt.Add(-*source.proofAge))
 	}
 }
 
-// provingWatchWait is the mean length of a watch of the configuration where keys are
-// taken away strictly: a watch proves only what was the newest when it began.
-func provingWatchWait(int) time.Duration { return provingWait }
-
 // applyAndMeasure applies objects and sets the pause by how long that took.
 func (w *watcher) applyAndMeasure(batch batch) {
 	start := time.Now()
@@ -287,7 +326,7 @@
 	if w.watchesStore.Load() {
 		elapsed += time.Duration(w.listingTime.Load())
 	}
-	pause := min(pauseFactor*elapsed, time.Duration(maxPauseShare*float64(w.feed.ConvergenceLimit)))
+	pause := min(pauseFactor*elapsed, w.feed.limitShare(maxPauseShare))
 	w.pause.Store(int64(max(pause, w.watchInterval)))
 }
 
@@ -298,50 +337,93 @@
 	return remaining + configWatchInterval + time.Duration(arrivalFactor*float64(w.listingTime.Load()))
 }
 
-// errWatchRestarted is the cause with which a watch that may have missed a change
-// is cancelled.
-var errWatchRestarted = errors.New("watch may have missed a change; it is restarted") //nolint:gochecknoglobals // a sentinel error
+// errWatchRestarted is the cause with which a watch that may have missed a change is
+// cancelled, errSilent that of a watch whose response does not come.
+var (
+	errWatchRestarted = errors.New("watch may have missed a change; it is restarted")                      //nolint:gochecknoglobals // a sentinel error
+	errSilent         = errors.New("the store did not respond to a watch; the node uses a new connection") //nolint:gochecknoglobals // a sentinel error
+)
 
-// watch waits for changes, for a random time between half and one and a half times
-// source.wait, or until it is restarted. After a failed call it does not wait. It is not restarted once the response has
-// begun to arrive.
+// watch waits for changes until the source ends the watch, the watch is restarted, or
+// the store does not respond in time. It is not cancelled once the response has begun to
+// arrive.
 func (w *watcher) watch(ctx context.Context, source watchSource) (qhplatform.Changes, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var responding atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { responding.Store(true) }})
+	wait, start := w.nextWait(source), time.Now()
+	late := make(<-chan time.Time)
+	if source.isStore() {
+		timer := time.NewTimer(wait + w.grace.allowed())
+		defer timer.Stop()
+		late = timer.C
+	}
 	stop := make(chan struct{})
 	defer close(stop)
 	w.feed.group.Go(func(context.Context) {
+		cause := errSilent
 		select {
 		case <-w.restartWatch:
-			if !responding.Load() {
-				cancel(errWatchRestarted)
-			}
+			cause = errWatchRestarted
+		case <-late:
 		case <-stop:
+			return
+		}
+		if !responding.Load() {
+			cancel(cause)
 		}
 	})
-	wait := source.wait/2 + rand.N(source.wait)
-	if w.failing.Load() {
-		wait = resumeWait
-	}
 	changes, err := source.watch(ctx, w.position, wait)
-	if err != nil && errors.Is(context.Cause(ctx), errWatchRestarted) {
-		return qhplatform.Changes{}, errWatchRestarted
+	if err != nil {
+		for _, cause := range []error{errWatchRestarted, errSilent} {
+			if errors.Is(context.Cause(ctx), cause) {
+				return qhplatform.Changes{}, cause
+			}
+		}
+		return changes, err
+	}
+	if elapsed := time.Since(start); source.isStore() && elapsed >= wait {
+		w.grace.recordLateness(elapsed - wait)
+	}
+	return changes, nil
+}
+
+// nextWait returns how long the source should hold the next watch: not at all after a
+// failed one, and at the store only as long as the last response does not get too old.
+func (w *watcher) nextWait(source watchSource) time.Duration {
+	if w.failing.Load() || w.reconnecting {
+		return resumeWait
+	}
+	shortest := time.Duration(minWaitShare * float64(source.maxWait))
+	wait := shortest + rand.N(source.maxWait-shortest)
+	if source.isStore() {
+		wait = max(resumeWait, min(wait, source.maxWait-w.sinceResponse()))
 	}
-	return changes, err
+	return wait
 }
 
-func configWatchWait(nodes int) time.Duration {
-	return min(max(time.Duration(nodes)*watchWaitPerNode, minWatchWait), maxWatchWait)
+func (f *Feed) configMaxWait(int) time.Duration {
+	wait := f.limitShare(storeWaitShare)
+	if f.Proof.IsNeeded() {
+		wait = min(wait, provingWait) // a watch proves only what was the newest when it began
+	}
+	return wait
 }
 
-func nodesWatchWait(nodes int) time.Duration { return min(2*configWatchWait(nodes), maxWatchWait) }
+func nodesMaxWait(nodes int) time.Duration {
+	return min(max(time.Duration(nodes)*nodesWaitPerNode, minNodesWait), maxNodesWait)
+}
+
+// limitShare returns a share of the convergence limit.
+func (f *Feed) limitShare(share float64) time.Duration {
+	return time.Duration(share * float64(f.ConvergenceLimit))
+}
 
 // recordResponse records a successful call.
 func (w *watcher) recordResponse(source watchSource) {
 	w.lastResponse.Store(time.Now().UnixNano())
-	w.watchesStore.Store(source.reader.Node == "")
+	w.watchesStore.Store(source.isStore())
 	if w.failing.Swap(false) {
 		w.feed.Log.Info("watch works again", zap.String("what", w.name), zap.String("reader", string(source.reader.Node)))
 	}
@@ -353,10 +435,13 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if source.reader.Node != "" {
+	if !source.isStore() {
 		w.feed.skipReader(source.reader.Node, w, err)
 		return
 	}
+	if errors.Is(err, errSilent) {
+		w.grace.recordMiss()
+	}
 	if !w.failing.Swap(true) {
 		w.watchesStore.Store(false)
 		w.cache.notify() // ends the waiting watches of clients, which then choose another reader
--- a/qhplatform/http.go
+++ b/qhplatform/http.go
@@ -104,11 +104,13 @@
 		WatchPrefix:  c.watchPrefix,
 		WatchObject:  c.watchObject,
 	}
-	return store, func() {
-		c.calls.CloseIdleConnections()
-		c.watches.CloseIdleConnections()
-		c.bulk.CloseIdleConnections()
-	}
+	return store, c.closeIdleConnections
+}
+
+func (c *client) closeIdleConnections() {
+	c.calls.CloseIdleConnections()
+	c.watches.CloseIdleConnections()
+	c.bulk.CloseIdleConnections()
 }
 
 func withDefaults(opts HTTPOptions) HTTPOptions {
--- a/qhplatform/http_call.go
+++ b/qhplatform/http_call.go
@@ -95,7 +95,7 @@
 	c.addToCounter("qh_platform_calls_total", call.Op, 1)
 	resp, err := httpClient.Do(request)
 	if err != nil {
-		httpClient.CloseIdleConnections()
+		c.closeIdleConnections() // they may be silent too
 		return rawResponse{}, c.noResponseError(call, sent.Load(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
