qhfeed: Watch the store from two nodes a zone instead of four

Watches of the configuration are shorter since silent connections are noticed in time, which costs calls in small fleets, where all nodes were readers. The budget needs two: a client that finds both silent still has a quarter of the convergence limit for the store. Fleets whose zones have two nodes with fast links have run so before.

The client test skipped two of four readers by hand; now its two readers are all silent, so that as many do not respond as before.

--- a/qhfeed/reader.go
+++ b/qhfeed/reader.go
@@ -20,7 +20,7 @@
 	// minReaders is the least number of readers of an availability zone, as long
 	// as enough nodes have a fast link. Readers watch the store, and the other
 	// nodes watch through them.
-	minReaders = 4
+	minReaders = 2
 	// nodesPerReader bounds the number of a zone's nodes per reader, the readers
 	// included, as long as enough nodes have a fast link.
 	nodesPerReader = 16
