qhquota: Play suspensions in the time of the fleet, not of one node's clock only

The test set the clock ahead while the window's time stood still, which no VM does: qhclock is steady and counts suspended time, so that 6 s of it are 6 s of the window.

Now a suspension is a pause of the whole VM for 6 s of the fleet's time, in which its clock goes on.

--- a/qhquota/qhquota_test.go
+++ b/qhquota/qhquota_test.go
@@ -22,6 +22,8 @@
 	tenant   Key = "huilo"
 	playTick     = 50 * time.Millisecond
 	window       = 5 * time.Second
+	// suspension is how long a VM is suspended; its clock counts that time.
+	suspension = 6 * time.Second
 	// excess and slack are what a limit may be exceeded by in a window.
 	excess = 0.1
 	slack  = 20.0
@@ -40,8 +42,13 @@
 	// cut nodes exchange no messages, paused ones do nothing and neither does their
 	// clock show it before they go on.
 	cut, paused bool
+	// suspendedUntil is the end of a pause of the whole VM, on the fleet's time.
+	suspendedUntil time.Duration
 }
 
+// isStill reports whether the node does nothing at a moment of the fleet's time.
+func (n *playedNode) isStill(now time.Duration) bool { return n.paused || now < n.suspendedUntil }
+
 // playedFleet plays nodes in steps of playTick. Its messages arrive at once or never.
 type playedFleet struct {
 	nodes []*playedNode
@@ -73,7 +80,7 @@
 		Now: func() qhclock.Instant { return n.clock }, Group: f.group, Log: zap.NewNop(), Metrics: metrics.NewSet(),
 		Send: func(_ context.Context, to qhid.Node, message Message) (Reply, error) {
 			for _, other := range f.nodes {
-				if other.id == to && !other.cut && !n.cut && !other.paused {
+				if other.id == to && !other.cut && !n.cut && !other.isStill(f.now) {
 					return other.local.Answer(message), nil
 				}
 			}
@@ -87,7 +94,7 @@
 	f.now += playTick
 	for i, n := range f.nodes {
 		n.clock = n.clock.Add(playTick)
-		if n.paused {
+		if n.isStill(f.now) {
 			continue
 		}
 		if f.now%sendInterval == 0 {
@@ -139,7 +146,7 @@
 			case 2:
 				f.start(n)
 			case 3:
-				n.clock = n.clock.Add(6 * time.Second) // suspended, which its clock counts
+				n.suspendedUntil = f.now + suspension
 			}
 			hot := rapid.IntRange(0, len(f.nodes)-1).Draw(t, "hot")
 			f.step(func(node int) int {
