--- a/qhquota/qhquota_test.go
+++ b/qhquota/qhquota_test.go
@@ -24,6 +24,8 @@
 	window       = 5 * time.Second
 	// suspension is how long a VM is suspended; its clock counts that time.
 	suspension = 6 * time.Second
+	// noEvent is none of the events of a sequence.
+	noEvent = -1
 	// excess and slack are what a limit may be exceeded by in a window.
 	excess = 0.1
 	slack  = 20.0
@@ -54,6 +56,8 @@
 	nodes []*playedNode
 	limit Limit
 	now   time.Duration
+	// settledAt is when the window that begins at the end of the last suspension ends.
+	settledAt time.Duration
 	// used has the times at which tokens were used.
 	used    []time.Duration
 	refused int
@@ -89,6 +93,14 @@
 	})
 }
 
+// suspend suspends the VMs of nodes.
+func (f *playedFleet) suspend(nodes ...*playedNode) {
+	for _, n := range nodes {
+		n.suspendedUntil = f.now + suspension
+	}
+	f.settledAt = f.now + suspension + window
+}
+
 // step lets a tick pass. calls is the number of calls at each node.
 func (f *playedFleet) step(calls func(node int) int) {
 	f.now += playTick
@@ -129,16 +141,21 @@
 }
 
 // TestBoundHoldsOverCutsPausesAndRestarts plays random sequences of failures under a
-// demand far above the limit.
+// demand far above the limit, with idle times in which purses and pools fill.
 func TestBoundHoldsOverCutsPausesAndRestarts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rate := rapid.Float64Range(2, 400).Draw(t, "rate")
 		f := newPlayedFleet(rapid.IntRange(1, 12).Draw(t, "nodes"), newLimit(rate, rate*rapid.Float64Range(0, 2).Draw(t, "burst")))
 		defer f.stop()
-		perTick := int(3*rate*playTick.Seconds()) + 1
-		for range 240 {
+		var idleUntil time.Duration
+		perTick := int(6*rate*playTick.Seconds()) + 1
+		for range 480 {
 			n := f.nodes[rapid.IntRange(0, len(f.nodes)-1).Draw(t, "node")]
-			switch rapid.IntRange(0, 20).Draw(t, "event") {
+			event := rapid.IntRange(0, 40).Draw(t, "event")
+			if f.now < f.settledAt {
+				event = noEvent // the first window after a suspension shows its effect
+			}
+			switch event {
 			case 0:
 				n.cut = !n.cut
 			case 1:
@@ -146,14 +163,23 @@
 			case 2:
 				f.start(n)
 			case 3:
-				n.suspendedUntil = f.now + suspension
+				f.suspend(n)
+			case 4:
+				f.suspend(f.nodes...)
+			case 5:
+				f.settledAt = f.now + suspension + window
+				idleUntil = f.now + suspension
 			}
 			hot := rapid.IntRange(0, len(f.nodes)-1).Draw(t, "hot")
 			f.step(func(node int) int {
-				if node == hot {
+				switch {
+				case f.now < idleUntil:
+					return 0
+				case node == hot:
 					return perTick
+				default:
+					return 1
 				}
-				return 1
 			})
 		}
 		NewWithT(t).Expect(float64(f.mostInWindow())).To(BeNumerically("<=", f.bound()))
