--- a/qhcrash/ledger_test.go
+++ b/qhcrash/ledger_test.go
@@ -135,9 +135,9 @@
 	)
 })
 
-// TestLedgersAgreeOnceTheyHaveTheSameReports gives ends and successes to random nodes,
+// TestLedgersAgreeOnceTheyHaveTheSameFindings gives ends and successes to random nodes,
 // passes findings on in a random order, some of them twice, and compares the verdicts.
-func TestLedgersAgreeOnceTheyHaveTheSameReports(t *testing.T) {
+func TestLedgersAgreeOnceTheyHaveTheSameFindings(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		clock := &testClock{time.Unix(1000, 0)}
 		ledgers := make([]*Ledger, 3)
