--- a/qhfeed/silent_test.go
+++ b/qhfeed/silent_test.go
@@ -133,7 +133,7 @@
 
 func (c *silenceableConn) Write(p []byte) (int, error) {
 	if c.silenced.Err() != nil {
-		return len(p), nil
+		return len(p), nil //nolint:nilerr // the sender does not notice
 	}
 	return c.Conn.Write(p)
 }
--- a/qhfeed/watcher.go
+++ b/qhfeed/watcher.go
@@ -240,11 +240,7 @@
 		source := w.nextSource()
 		source.askedAt = w.feed.Proof.Now()
 		changes, err := w.watch(ctx, source)
-		if ctx.Err() == nil && errors.Is(err, errWatchRestarted) {
-			continue
-		}
-		if ctx.Err() == nil && errors.Is(err, errSilent) && !w.reconnecting {
-			w.reconnect()
+		if ctx.Err() == nil && w.continues(err) {
 			continue
 		}
 		if qherr.Is(err, qherr.Conflict) {
@@ -269,24 +265,45 @@
 		w.recordResponse(source)
 		w.setPosition(w.position.advance(next))
 		w.cache.add(changes.Objects, w.position)
-		reconnected := w.reconnecting
-		w.reconnecting = false
+		w.applyChanges(changes)
+		w.confirm(source)
 		if len(changes.Objects) > 0 {
-			before := w.feed.Holder.Version()
-			w.applyAndMeasure(batch{objects: changes.Objects, revision: changes.Revision})
-			if reconnected && w.feed.Holder.Version() > before {
-				w.notifyReaders()
-			}
-			w.confirm(source)
 			pause := time.Duration(w.pause.Load())
 			w.pauseEnd.Store(time.Now().Add(pause).UnixNano())
 			qhgroup.Sleep(ctx, pause)
-		} else {
-			w.confirm(source)
 		}
 	}
 }
 
+// continues reports whether a watch that ended with err is continued at once: one that
+// was restarted, or whose connection was silent for the first time.
+func (w *watcher) continues(err error) bool {
+	switch {
+	case errors.Is(err, errWatchRestarted):
+		return true
+	case errors.Is(err, errSilent) && !w.reconnecting:
+		w.reconnect()
+		return true
+	default:
+		return false
+	}
+}
+
+// applyChanges applies the changes of a watch, if there are any. Those that came after a
+// silent connection may have been missed by other readers too.
+func (w *watcher) applyChanges(changes qhplatform.Changes) {
+	reconnected := w.reconnecting
+	w.reconnecting = false
+	if len(changes.Objects) == 0 {
+		return
+	}
+	before := w.feed.Holder.Version()
+	w.applyAndMeasure(batch{objects: changes.Objects, revision: changes.Revision})
+	if reconnected && w.feed.Holder.Version() > before {
+		w.notifyReaders()
+	}
+}
+
 // reconnect continues after a connection to the store was silent. The connections of
 // the other watches may be silent too.
 func (w *watcher) reconnect() {
--- a/qhproxy/crash.go
+++ b/qhproxy/crash.go
@@ -1,11 +1,13 @@
 package qhproxy
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 
 	"quetzalhaven.dev/qhcrash"
 	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhguard"
 )
 
 // fingerprint returns the fingerprint of the call's request; empty if requests are not
@@ -31,3 +33,24 @@
 	return notExecuted(qhdecision.Quarantined, http.StatusServiceUnavailable, verdict.Remaining,
 		fmt.Sprintf("targets ended while they executed this request (fingerprint %s): %v; mend the service or release the request", request, verdict.Targets))
 }
+
+// admit waits for a slot of the target. It refuses a quarantined request, also one that
+// was quarantined while the call waited.
+func (p *Proxy) admit(ctx context.Context, guard *qhguard.Guard, admission qhguard.AdmissionRequest, request qhcrash.Fingerprint) (*qhguard.Permit, *failure) {
+	if f := p.checkQuarantine(request); f != nil {
+		return nil, f
+	}
+	permit, err := guard.Admit(ctx, admission)
+	if err != nil {
+		return nil, admissionFailure(ctx, err)
+	}
+	if f := p.checkQuarantine(request); f != nil {
+		permit.Release()
+		return nil, f
+	}
+	return permit, nil
+}
+
+func crashTarget(info qhguard.TargetInfo) qhcrash.Target {
+	return qhcrash.Target{ID: info.ID, Service: info.Service, Address: info.Address}
+}
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -114,22 +114,13 @@
 			return nil, f
 		}
 	}
-	if f := p.checkQuarantine(out.fingerprint); f != nil {
-		return nil, f
-	}
 	info := guard.Info()
 	leaveDoor, f := p.enterDoor(info, admission.Route)
 	if f != nil {
 		return nil, f
 	}
-	permit, err := guard.Admit(ctx, admission)
-	if err != nil {
-		f = admissionFailure(ctx, err)
-		leaveDoor(nil, f)
-		return nil, f
-	}
-	if f = p.checkQuarantine(out.fingerprint); f != nil { // since the call was queued
-		permit.Release()
+	permit, f := p.admit(ctx, guard, admission, out.fingerprint)
+	if f != nil {
 		leaveDoor(nil, f)
 		return nil, f
 	}
@@ -143,13 +134,7 @@
 		if f = p.permissionFailure(err); f == nil {
 			f = roundTripFailure(ctx, err)
 		}
-		switch f.Reason {
-		case qhdecision.ConnectFailed:
-			guard.MarkUnreachable()
-		case qhdecision.ConnectionLost:
-			p.Crashes.ConnectionLost(qhcrash.Target{ID: target, Service: info.Service, Address: info.Address}, out.fingerprint)
-		default:
-		}
+		p.observeBrokenConnection(guard, out.fingerprint, f)
 	} else {
 		p.observeTarget(target, resp.Header)
 		guard.SetRateLimit(p.limits.get(target))
@@ -167,7 +152,7 @@
 		if err == nil {
 			p.Crashes.Succeeded(out.fingerprint)
 		} else if ctx.Err() == nil { // otherwise the deadline or the caller ended the call
-			p.Crashes.ConnectionLost(qhcrash.Target{ID: target, Service: info.Service, Address: info.Address}, out.fingerprint)
+			p.Crashes.ConnectionLost(crashTarget(info), out.fingerprint)
 		}
 	}
 	response.release = func() {
@@ -178,6 +163,17 @@
 	return response, nil
 }
 
+// observeBrokenConnection records what a failed round trip tells of the target.
+func (p *Proxy) observeBrokenConnection(guard *qhguard.Guard, request qhcrash.Fingerprint, f *failure) {
+	switch f.Reason {
+	case qhdecision.ConnectFailed:
+		guard.MarkUnreachable()
+	case qhdecision.ConnectionLost:
+		p.Crashes.ConnectionLost(crashTarget(guard.Info()), request)
+	default:
+	}
+}
+
 // checkResponse returns a failure if the response does not belong to the call
 // or says that the target did not execute it, else nil. In case of a failure it
 // closes the body, and with it the connection.
