--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -69,8 +69,8 @@
 	// and nil for calls without a tenant.
 	key    qhconfig.KeyDigest
 	tenant *qhconfig.Tenant
-	// print is the result of fingerprint; empty before its first call.
-	print qhcrash.Fingerprint
+	// knownFingerprint is the result of fingerprint; empty before its first call.
+	knownFingerprint qhcrash.Fingerprint
 	// targetAttempts counts the attempts that reached a target.
 	targetAttempts int
 }
--- a/qhproxy/crash.go
+++ b/qhproxy/crash.go
@@ -13,14 +13,14 @@
 // fingerprint returns the fingerprint of the call's request; empty if requests are not
 // compared. A body that is streamed is known by its length only.
 func (c *call) fingerprint() qhcrash.Fingerprint {
-	if c.proxy.Crashes == nil || c.print != "" {
-		return c.print
+	if c.proxy.Crashes == nil || c.knownFingerprint != "" {
+		return c.knownFingerprint
 	}
-	c.print = qhcrash.Identity{
+	c.knownFingerprint = qhcrash.Identity{
 		Method: c.request.Method, Host: stripPort(c.request.Host), URI: c.request.URL.RequestURI(),
 		Caller: c.proxy.LocalService(), Tenant: tenantName(c.tenant), Body: c.body.buffer, BodyLength: c.body.length,
 	}.Fingerprint()
-	return c.print
+	return c.knownFingerprint
 }
 
 // checkQuarantine returns the failure of a call whose request is quarantined because it
