--- a/qhcrash/ledger.go
+++ b/qhcrash/ledger.go
@@ -152,17 +152,32 @@
 	return success
 }
 
-// RecordEnd records that a target ended while it executed requests of a service, and
-// returns what other nodes have to know of them.
-func (l *Ledger) RecordEnd(service qhid.Service, target qhid.Target, at time.Time, requests []Fingerprint) []Finding {
+// RecordEnd records that a target ended while it executed requests of a service. It
+// returns what other nodes have to know of them, and the verdicts on those that are
+// quarantined from now on.
+func (l *Ledger) RecordEnd(service qhid.Service, target qhid.Target, at time.Time, requests []Fingerprint) ([]Finding, []Verdict) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	findings := make([]Finding, 0, len(requests))
+	var quarantined []Verdict
 	for _, request := range requests {
-		l.putEnd(request, service, endTime{target: target, at: at})
+		quarantined = l.appendQuarantined(quarantined, request, func() {
+			l.putEnd(request, service, endTime{target: target, at: at})
+		})
 		findings = append(findings, l.finding(request))
 	}
-	return findings
+	return findings, quarantined
+}
+
+// appendQuarantined calls change and appends the verdict on the request if it is
+// quarantined since then.
+func (l *Ledger) appendQuarantined(verdicts []Verdict, request Fingerprint, change func()) []Verdict {
+	before := l.verdict(request).Quarantined
+	change()
+	if verdict := l.verdict(request); verdict.Quarantined && !before {
+		verdicts = append(verdicts, verdict)
+	}
+	return verdicts
 }
 
 // putEnd adds an end, unless the record has it.
@@ -220,30 +235,30 @@
 	return l.finding(request), true
 }
 
-// Merge adds what another node reported, and returns the verdicts on the requests that
-// it quarantined.
+// Merge adds what another node found, and returns the verdicts on the requests that are
+// quarantined from now on.
 func (l *Ledger) Merge(findings []Finding) []Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var quarantined []Verdict
-	now := l.now()
 	for _, finding := range findings {
-		before := l.verdict(finding.Request).Quarantined
-		for _, end := range finding.Ends {
-			if age := max(0, end.Age); age <= forgetFactor*l.quarantine {
-				l.putEnd(finding.Request, finding.Service, endTime{target: end.Target, at: now.Add(-age)})
-			}
-		}
-		if r := l.records[finding.Request]; r != nil && finding.SuccessAge != nil {
-			r.success = later(r.success, now.Add(-max(0, *finding.SuccessAge)))
-		}
-		if verdict := l.verdict(finding.Request); verdict.Quarantined && !before {
-			quarantined = append(quarantined, verdict)
-		}
+		quarantined = l.appendQuarantined(quarantined, finding.Request, func() { l.mergeFinding(finding) })
 	}
 	return quarantined
 }
 
+func (l *Ledger) mergeFinding(finding Finding) {
+	now := l.now()
+	for _, end := range finding.Ends {
+		if age := max(0, end.Age); age <= forgetFactor*l.quarantine {
+			l.putEnd(finding.Request, finding.Service, endTime{target: end.Target, at: now.Add(-age)})
+		}
+	}
+	if r := l.records[finding.Request]; r != nil && finding.SuccessAge != nil {
+		r.success = later(r.success, now.Add(-max(0, *finding.SuccessAge)))
+	}
+}
+
 // finding returns what this node knows of a request that has a record.
 func (l *Ledger) finding(request Fingerprint) Finding {
 	r, now := l.records[request], l.now()
--- a/qhcrash/ledger_test.go
+++ b/qhcrash/ledger_test.go
@@ -31,8 +31,8 @@
 var _ = Describe("a ledger", func() {
 	var clock *testClock
 	var ledger *Ledger
-	end := func(target qhid.Target, requests ...Fingerprint) []Finding {
-		return ledger.RecordEnd(testService, target, clock.now(), requests)
+	end := func(target qhid.Target, requests ...Fingerprint) {
+		ledger.RecordEnd(testService, target, clock.now(), requests)
 	}
 	BeforeEach(func() {
 		clock = &testClock{time.Unix(1000, 0)}
--- a/qhcrash/local.go
+++ b/qhcrash/local.go
@@ -169,14 +169,9 @@
 		return
 	}
 	l.ends.Inc()
-	before := l.Quarantined()
-	findings := l.ledger.RecordEnd(target.Service, target.ID, at, requests)
+	findings, quarantined := l.ledger.RecordEnd(target.Service, target.ID, at, requests)
 	l.Log.Warn("target ended", zap.String("target", string(target.ID)), zap.String("service", string(target.Service)), zap.Int("requests", len(requests)))
-	for _, verdict := range l.Quarantined() {
-		if !slices.ContainsFunc(before, func(v Verdict) bool { return v.Request == verdict.Request }) {
-			l.logQuarantine(verdict)
-		}
-	}
+	l.logQuarantined(quarantined)
 	l.tellPeers(target.Service, findings)
 }
 
@@ -191,9 +186,11 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-func (l *Local) logQuarantine(verdict Verdict) {
-	l.Log.Warn("request quarantined", zap.String("fingerprint", string(verdict.Request)), zap.String("service", string(verdict.Service)),
-		zap.String("targets", fmt.Sprint(verdict.Targets)), zap.Duration("for", verdict.Remaining))
+func (l *Local) logQuarantined(verdicts []Verdict) {
+	for _, verdict := range verdicts {
+		l.Log.Warn("request quarantined", zap.String("fingerprint", string(verdict.Request)), zap.String("service", string(verdict.Service)),
+			zap.String("targets", fmt.Sprint(verdict.Targets)), zap.Duration("for", verdict.Remaining))
+	}
 }
 
 // tellPeers sends findings to the other nodes of the service.
@@ -230,9 +227,7 @@
 }
 
 func (l *Local) merge(message Message) {
-	for _, verdict := range l.ledger.Merge(message.Findings) {
-		l.logQuarantine(verdict)
-	}
+	l.logQuarantined(l.ledger.Merge(message.Findings))
 }
 
 // Answer merges the message of another node and returns the response.
