Revert "qhquota: Let the pools of all keepers together hold no more than one may"

The refusals come after a release and while targets are added, 12 to 17 s and 22 to 27 s: nodes with fast links join, the keepers of many allowances change, and each change loses 2.1 s of surplus.

A pool that is handed over when its keeper changes, or keepers that change less often, is the next thing to weigh.

--- a/qhquota/local.go
+++ b/qhquota/local.go
@@ -36,8 +36,6 @@
 // Message is what a node sends to the keeper of pools. It is valid in itself: tokens
 // that it brings were taken out of the sender's purses before.
 type Message struct {
-	// From is the sender of Tokens; empty without any.
-	From qhid.Node `json:"f,omitempty"`
 	// Tokens are added to the pools.
 	Tokens map[Key]float64 `json:"t,omitempty"`
 	// Wanted are tokens that the sender asks for.
@@ -284,11 +282,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
-	nodes := l.nodes(now)
 	reply := Reply{Lent: make(map[Key]float64), Waits: make(map[Key]time.Duration)}
 	for key, tokens := range message.Tokens {
 		limit, ok := l.Limit(key)
-		if ok && tokens > 0 && l.poolOf(key).add(now, tokens, message.From, limit, nodes) {
+		if ok && tokens > 0 && l.poolOf(key).add(now, tokens, limit) {
 			reply.Full = append(reply.Full, key)
 		}
 	}
@@ -297,7 +294,7 @@
 		if !ok {
 			continue
 		}
-		lent, wait := l.poolOf(key).lend(now, wanted, limit, nodes)
+		lent, wait := l.poolOf(key).lend(now, wanted, limit)
 		if lent > 0 {
 			reply.Lent[key] = lent
 		} else {
@@ -311,7 +308,7 @@
 func (l *Local) poolOf(key Key) *pool {
 	p := l.pools[key]
 	if p == nil {
-		p = &pool{senders: make(map[qhid.Node]sending)}
+		p = &pool{}
 		l.pools[key] = p
 	}
 	return p
@@ -348,7 +345,7 @@
 		}
 		if tokens := p.withdrawSurplus(now); tokens > 0 {
 			if messages[keeper].Tokens == nil {
-				messages[keeper] = Message{From: l.Self, Tokens: make(map[Key]float64)}
+				messages[keeper] = Message{Tokens: make(map[Key]float64)}
 			}
 			messages[keeper].Tokens[key] = tokens
 		}
--- a/qhquota/purse.go
+++ b/qhquota/purse.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"quetzalhaven.dev/qhclock"
-	"quetzalhaven.dev/qhid"
 )
 
 // Key names what is bounded.
@@ -164,55 +163,17 @@
 // pool has the tokens of one key that other nodes do not need.
 type pool struct {
 	tokens float64
-	// senders has the nodes that send their surplus to this pool.
-	senders map[qhid.Node]sending
 	// inflow is the decayed number of tokens received, as of inflowAt.
 	inflow   float64
 	inflowAt qhclock.Instant
 }
 
-// sending is when a node began to send its surplus to a pool, and when it last did.
-type sending struct{ since, last qhclock.Instant }
-
-const (
-	// senderMemory is how long after its last message a node counts as a sender. It is
-	// longer than the pause of a sender whose pool is full, and shorter than the time
-	// for which a node skips a keeper that did not respond.
-	senderMemory = 1800 * time.Millisecond
-	// senderHold is how long a node has to send before it counts. By then it no longer
-	// counts at the keeper that it sent to before.
-	senderHold = senderMemory + 2*askTimeout
-)
-
 // add adds tokens up to the capacity, and reports whether the pool is full.
-func (p *pool) add(now qhclock.Instant, tokens float64, from qhid.Node, limit Limit, nodes int) bool {
-	sender, ok := p.senders[from]
-	if !ok || now.Since(sender.last) > senderMemory {
-		sender.since = now
-	}
-	sender.last = now
-	p.senders[from] = sender
+func (p *pool) add(now qhclock.Instant, tokens float64, limit Limit) bool {
 	p.inflow = p.decayedInflow(now) + tokens
 	p.inflowAt = now
-	capacity := p.capacity(now, limit, nodes)
-	p.tokens = min(p.tokens+tokens, capacity)
-	return p.tokens > 0 && p.tokens >= capacity
-}
-
-// capacity returns how many tokens the pool may hold: the part of the senders among all
-// nodes. Each node counts at one keeper at most, so that the pools of all keepers
-// together hold no more than one may.
-func (p *pool) capacity(now qhclock.Instant, limit Limit, nodes int) float64 {
-	counted := 0
-	for node, sender := range p.senders {
-		switch {
-		case now.Since(sender.last) > senderMemory:
-			delete(p.senders, node)
-		case now.Since(sender.since) >= senderHold:
-			counted++
-		}
-	}
-	return limit.pools() * min(float64(counted)/float64(max(nodes, 1)), 1)
+	p.tokens = min(p.tokens+tokens, limit.pools())
+	return p.tokens >= limit.pools()
 }
 
 func (p *pool) decayedInflow(now qhclock.Instant) float64 {
@@ -221,8 +182,8 @@
 
 // lend takes tokens out of the pool: as many as wanted, or what there is. If that is
 // less than one, it returns 0 and the time after which there should be one.
-func (p *pool) lend(now qhclock.Instant, wanted float64, limit Limit, nodes int) (float64, time.Duration) {
-	p.tokens = min(p.tokens, p.capacity(now, limit, nodes)) // the limit may have been lowered, and senders gone
+func (p *pool) lend(now qhclock.Instant, wanted float64, limit Limit) (float64, time.Duration) {
+	p.tokens = min(p.tokens, limit.pools()) // the limit may have been lowered
 	lent := min(max(wanted, 0), p.tokens)
 	if lent < 1 {
 		rate := max(p.decayedInflow(now)*math.Ln2/demandHalfLife.Seconds(), 1/maxRetryAfter.Seconds())
