--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -33,8 +33,7 @@
 // entryPrefix is the key prefix of the nodes' entries in the store.
 const entryPrefix qhplatform.Key = "qhnodes/"
 
-// Options configures New. All fields but those that name a
-// default are required.
+// Options configures New. All fields but those that name a default are required.
 type Options struct {
 	// ConfigKey is the key of the object that holds the configuration.
 	ConfigKey qhplatform.Key
