qhplatform, qhfeed: Play the store's client over a network in memory

The test of silent connections took a store without a client, so that pooled connections, their dials and their timeouts were not played. HTTPOptions.Dial is a seam for the connections; the tests' network carries the real client of the store, partitions, silence and resets, in the time of a synctest bubble.

--- a/qhplatform/http.go
+++ b/qhplatform/http.go
@@ -65,6 +65,8 @@
 	MaxConnections int
 	// Codec encodes calls and decodes responses; the codec of NewHandler if nil.
 	Codec *Codec
+	// Dial opens the connections; TCP with keep-alive if it is nil.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Metrics may be nil.
 	Metrics *metrics.Set
 	// Log may be nil.
@@ -92,9 +94,9 @@
 func NewHTTP(opts HTTPOptions) (Store, func()) {
 	c := &client{HTTPOptions: withDefaults(opts)}
 	c.baseURL, _ = url.Parse(c.BaseURL) // with a nil baseURL each call fails as BadInput
-	c.calls = newHTTPClient(c.MaxConnections)
-	c.watches = newHTTPClient(c.MaxConnections)
-	c.bulk = newHTTPClient(c.MaxConnections)
+	c.calls = c.newHTTPClient()
+	c.watches = c.newHTTPClient()
+	c.bulk = c.newHTTPClient()
 	c.limiter = rate.NewLimiter(rate.Limit(c.RateLimit), c.Burst)
 	c.bulkLimiter = rate.NewLimiter(rate.Limit(bulkRateShare*c.RateLimit), max(1, int(bulkRateShare*float64(c.Burst))))
 	c.retryBudget = newRetryBudget()
@@ -128,6 +130,12 @@
 	if opts.Codec == nil {
 		opts.Codec = defaultCodec()
 	}
+	if opts.Dial == nil {
+		dialer := &net.Dialer{Timeout: defaultTimeout, KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+		}}
+		opts.Dial = dialer.DialContext
+	}
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewSet()
 	}
@@ -147,15 +155,12 @@
 
 // newHTTPClient returns an HTTP client that follows no redirects, since a redirect
 // would send a write twice.
-func newHTTPClient(connections int) *http.Client {
-	dialer := &net.Dialer{Timeout: defaultTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-	}}
+func (c *client) newHTTPClient() *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
-			MaxConnsPerHost:     connections,
-			MaxIdleConnsPerHost: connections,
+			DialContext:         c.Dial,
+			MaxConnsPerHost:     c.MaxConnections,
+			MaxIdleConnsPerHost: c.MaxConnections,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
 		},
