qhfeed: Log from where and how late each version arrived

The hypotheses differ in which wait a late version spent its time in: a reader that serves without hearing from the store, a long wait for a call that failed, or applying. No line had any of these.

Readers send with each response how long ago the store responded to them. A node logs "configuration received" with the sender, the time without a response to its own watch, the sender's age and the time of applying, and has a histogram of each. No decision uses them yet.

--- a/qhfeed/exchange.go
+++ b/qhfeed/exchange.go
@@ -169,7 +169,11 @@
 		f.Log.Info("exchange with peer failed", zap.String("address", string(address)), zap.Error(err))
 		return
 	}
+	start, before := time.Now(), f.Holder.Version()
 	f.applyExchange(response)
+	if version := f.Holder.Version(); version > before {
+		f.recordArrival(string(address), version, f.config.sinceResponse(), 0, time.Since(start))
+	}
 	if response.ProofAge != nil && *response.ProofAge >= 0 && f.Holder.Version() >= response.Version {
 		f.Proof.Confirm(askedAt.Add(-*response.ProofAge))
 	}
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -102,6 +102,7 @@
 	announced bool
 	// silentConnections counts the connections to the store that became silent.
 	silentConnections *metrics.Counter
+	arrivals          arrivalMetrics
 	// reportedEra is the latest era of the store that another reader reported.
 	reportedEra atomic.Uint64
 	// reportedVersion is the newest version that was passed to ReportVersion and
@@ -136,6 +137,7 @@
 		skippedUntil:   make(map[qhid.Node]time.Time),
 
 		silentConnections: options.Metrics.NewCounter("qh_store_silent_connections_total"),
+		arrivals:          newArrivalMetrics(options.Metrics),
 	}
 	f.config = f.newWatcher("configuration", prefixOf(options.ConfigKey), f.applyConfigObjects)
 	f.config.maxWait, f.config.watchInterval = f.configMaxWait, configWatchInterval
@@ -232,6 +234,28 @@
 	f.checkReady()
 }
 
+// recordArrival records how a version reached this node: from which reader or peer, which
+// is empty for the store; after how long without a response to this node's watch; how old
+// the sender's own knowledge was, 0 if it is not known; and how long applying took.
+func (f *Feed) recordArrival(from string, version qhid.Version, gap, age, applying time.Duration) {
+	f.arrivals.gap.Update(gap.Seconds())
+	f.arrivals.age.Update(age.Seconds())
+	f.arrivals.applying.Update(applying.Seconds())
+	f.Log.Info("configuration received", zap.Uint64("version", uint64(version)), zap.String("from", from),
+		zap.Duration("gap", gap), zap.Duration("age", age), zap.Duration("applying", applying))
+}
+
+// arrivalMetrics has what recordArrival records, in seconds.
+type arrivalMetrics struct{ gap, age, applying *metrics.Histogram }
+
+func newArrivalMetrics(set *metrics.Set) arrivalMetrics {
+	return arrivalMetrics{
+		gap:      set.NewHistogram("qh_config_arrival_gap_seconds"),
+		age:      set.NewHistogram("qh_config_arrival_age_seconds"),
+		applying: set.NewHistogram("qh_config_applying_seconds"),
+	}
+}
+
 // Announce replaces the state and the targets that this node announces. Its entry is
 // written to the store in the background.
 func (f *Feed) Announce(state qhmember.State, targets []qhmember.AnnouncedTarget) {
--- a/qhfeed/serve_watch.go
+++ b/qhfeed/serve_watch.go
@@ -44,9 +44,8 @@
 	maxWait time.Duration
 	// askedAt is when the source was asked, on the clock of Feed.Proof.
 	askedAt qhclock.Instant
-	// proofAge is set to the age of the reader's proof when it responds; -1 if it has
-	// none. It is nil for the store.
-	proofAge *time.Duration
+	// report is what the reader told of itself with its last response; nil for the store.
+	report *readerReport
 	// list and watch read and watch the watcher's prefix at the source.
 	list  func(ctx context.Context) (qhplatform.Listing, error)
 	watch func(ctx context.Context, after position, wait time.Duration) (qhplatform.Changes, error)
@@ -54,19 +53,36 @@
 
 func (s watchSource) isStore() bool { return s.reader.Node == "" }
 
+// age returns how old the source's knowledge was when it responded.
+func (s watchSource) age() time.Duration {
+	if s.isStore() {
+		return 0
+	}
+	return s.report.age
+}
+
+// readerReport is what a reader tells of itself with a response.
+type readerReport struct {
+	// proofAge is the age of its proof that its configuration is the newest; -1 if it
+	// has none.
+	proofAge time.Duration
+	// age is the time since the store last responded to it.
+	age time.Duration
+}
+
 // nextSource returns the source to use for the next call. Before the first listing
 // it is the store.
 func (w *watcher) nextSource() watchSource {
 	feed := w.feed
 	if reader, ok := feed.chooseReader(); ok && w.listed.Load() {
-		proofAge := time.Duration(-1)
+		report := &readerReport{proofAge: -1}
 		return watchSource{
-			reader:   reader,
-			proofAge: &proofAge,
-			maxWait:  cmp.Or(w.readerWait, feed.limitShare(readerWaitShare)),
-			list:     func(ctx context.Context) (qhplatform.Listing, error) { return w.listViaReader(ctx, reader, &proofAge) },
+			reader:  reader,
+			report:  report,
+			maxWait: cmp.Or(w.readerWait, feed.limitShare(readerWaitShare)),
+			list:    func(ctx context.Context) (qhplatform.Listing, error) { return w.listViaReader(ctx, reader, report) },
 			watch: func(ctx context.Context, after position, wait time.Duration) (qhplatform.Changes, error) {
-				return w.watchViaReader(ctx, reader, after, wait, &proofAge)
+				return w.watchViaReader(ctx, reader, after, wait, report)
 			},
 		}
 	}
@@ -102,6 +118,16 @@
 	// ProofAge is the age of the reader's proof that its configuration is the newest,
 	// in nanoseconds; nil if it has none.
 	ProofAge *time.Duration `json:"g,omitempty"`
+	// Age is the time since the store last responded to the reader, in nanoseconds.
+	Age time.Duration `json:"t,omitempty"`
+}
+
+// applyTo sets what the reader told of itself.
+func (r watchResponse) applyTo(report *readerReport) {
+	report.age = r.Age
+	if r.ProofAge != nil {
+		report.proofAge = *r.ProofAge
+	}
 }
 
 // servedObject is an object as a reader sends it to a client.
@@ -159,7 +185,7 @@
 			return watchResponse{}, http.StatusConflict
 		case len(changes) > 0 || timedOut || request.After == 0:
 			response, status := w.encodeObjects(changes, at, request.KnownRevision)
-			response.ProofAge = proofAge
+			response.ProofAge, response.Age = proofAge, w.sinceResponse()
 			return response, status
 		}
 		select {
@@ -201,28 +227,24 @@
 }
 
 // listViaReader lists the objects at a reader.
-func (w *watcher) listViaReader(ctx context.Context, reader qhmember.Entry, proofAge *time.Duration) (qhplatform.Listing, error) {
+func (w *watcher) listViaReader(ctx context.Context, reader qhmember.Entry, report *readerReport) (qhplatform.Listing, error) {
 	response, err := w.requestFromReader(ctx, reader, watchRequest{Prefix: w.prefix, Era: w.position.era}, readerListTimeout)
 	if err != nil {
 		return qhplatform.Listing{}, err
 	}
-	if response.ProofAge != nil {
-		*proofAge = *response.ProofAge
-	}
+	response.applyTo(report)
 	objects, err := w.decodeObjects(response.Objects)
 	return qhplatform.Listing{Objects: objects, Revision: response.Revision, Era: response.Era}, err
 }
 
 // watchViaReader waits for changes at a reader.
-func (w *watcher) watchViaReader(ctx context.Context, reader qhmember.Entry, after position, wait time.Duration, proofAge *time.Duration) (qhplatform.Changes, error) {
+func (w *watcher) watchViaReader(ctx context.Context, reader qhmember.Entry, after position, wait time.Duration, report *readerReport) (qhplatform.Changes, error) {
 	timeout := wait + w.feed.limitShare(readerGraceShare)
 	response, err := w.requestFromReader(ctx, reader, watchRequest{Prefix: w.prefix, After: after.revision, Era: after.era, KnownRevision: w.cache.newestRevision(), Wait: wait}, timeout)
 	if err != nil {
 		return qhplatform.Changes{}, err
 	}
-	if response.ProofAge != nil {
-		*proofAge = *response.ProofAge
-	}
+	response.applyTo(report)
 	objects, err := w.decodeObjects(response.Objects)
 	return qhplatform.Changes{Objects: objects, Revision: response.Revision, Era: response.Era}, err
 }
--- a/qhfeed/watcher.go
+++ b/qhfeed/watcher.go
@@ -105,6 +105,8 @@
 	// lastResponse is the time of the last successful call to the store or a
 	// reader, in Unix nanoseconds.
 	lastResponse atomic.Int64
+	// gap is the time between the last two responses. Only run uses it.
+	gap time.Duration
 	// maxWait returns how long the store holds a watch at most, given the number of
 	// nodes that watch it.
 	maxWait func(nodes int) time.Duration
@@ -131,6 +133,7 @@
 
 func (f *Feed) newWatcher(name string, prefix qhplatform.Key, apply func(batch)) *watcher {
 	w := &watcher{feed: f, name: name, prefix: prefix, apply: apply, cache: newObjectCache(), restartWatch: make(chan struct{}, 1)}
+	w.lastResponse.Store(time.Now().UnixNano())
 	w.grace = newResponseGrace(f.limitShare(storeGraceShare))
 	f.Metrics.NewGauge(`qh_store_era{what="`+name+`"}`, func() float64 { return float64(w.era.Load()) })
 	f.Metrics.NewGauge(`qh_store_revision{what="`+name+`"}`, func() float64 { return float64(w.revision.Load()) })
@@ -183,7 +186,7 @@
 		afterRestore := w.restored
 		w.restored = false
 		before := w.feed.Holder.Version()
-		w.applyAndMeasure(batch{objects: listing.Objects, revision: listing.Revision, isListing: true, restored: afterRestore})
+		w.applyAndMeasure(source, batch{objects: listing.Objects, revision: listing.Revision, isListing: true, restored: afterRestore})
 		if w.listed.Swap(true) && (afterRestore || w.feed.Holder.Version() > before) {
 			w.notifyReaders()
 		}
@@ -265,7 +268,7 @@
 		w.recordResponse(source)
 		w.setPosition(w.position.advance(next))
 		w.cache.add(changes.Objects, w.position)
-		w.applyChanges(changes)
+		w.applyChanges(source, changes)
 		w.confirm(source)
 		if len(changes.Objects) > 0 {
 			pause := time.Duration(w.pause.Load())
@@ -291,14 +294,14 @@
 
 // applyChanges applies the changes of a watch, if there are any. Those that came after a
 // silent connection may have been missed by other readers too.
-func (w *watcher) applyChanges(changes qhplatform.Changes) {
+func (w *watcher) applyChanges(source watchSource, changes qhplatform.Changes) {
 	reconnected := w.reconnecting
 	w.reconnecting = false
 	if len(changes.Objects) == 0 {
 		return
 	}
 	before := w.feed.Holder.Version()
-	w.applyAndMeasure(batch{objects: changes.Objects, revision: changes.Revision})
+	w.applyAndMeasure(source, batch{objects: changes.Objects, revision: changes.Revision})
 	if reconnected && w.feed.Holder.Version() > before {
 		w.notifyReaders()
 	}
@@ -330,16 +333,19 @@
 	}
 	if source.isStore() {
 		w.feed.Proof.Confirm(source.askedAt)
-	} else if source.proofAge != nil && *source.proofAge >= 0 {
-		w.feed.Proof.Confirm(source.askedAt.Add(-*source.proofAge))
+	} else if source.report.proofAge >= 0 {
+		w.feed.Proof.Confirm(source.askedAt.Add(-source.report.proofAge))
 	}
 }
 
 // applyAndMeasure applies objects and sets the pause by how long that took.
-func (w *watcher) applyAndMeasure(batch batch) {
-	start := time.Now()
+func (w *watcher) applyAndMeasure(source watchSource, batch batch) {
+	start, before := time.Now(), w.feed.Holder.Version()
 	w.apply(batch)
 	elapsed := time.Since(start)
+	if version := w.feed.Holder.Version(); w == w.feed.config && version > before {
+		w.feed.recordArrival(string(source.reader.Node), version, w.gap, source.age(), elapsed)
+	}
 	if w.watchesStore.Load() {
 		elapsed += time.Duration(w.listingTime.Load())
 	}
@@ -439,6 +445,7 @@
 
 // recordResponse records a successful call.
 func (w *watcher) recordResponse(source watchSource) {
+	w.gap = w.sinceResponse()
 	w.lastResponse.Store(time.Now().UnixNano())
 	w.watchesStore.Store(source.isStore())
 	if w.failing.Swap(false) {
