--- a/qhfeed/network_test.go
+++ b/qhfeed/network_test.go
@@ -1,6 +1,7 @@
 package qhfeed
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -295,6 +296,8 @@
 	limit time.Duration
 	// applyTime is how long the node takes to decode a configuration.
 	applyTime time.Duration
+	// log may be nil.
+	log *zap.Logger
 }
 
 // start starts the node. It uses the store through the client of qhplatform.
@@ -310,7 +313,7 @@
 	client := newPeerClient(network.dialFrom(string(n.id), exchangeTimeout))
 	feed, stopFeed := New(Options{
 		ConfigKey: configKey, DecodeConfig: n.decode, Store: store, Holder: node.holder, Members: node.members,
-		Seeds: func() []qhid.Address { return nil }, ConvergenceLimit: n.limit, PeerClient: client, Log: zap.NewNop(), Metrics: metrics.NewSet(),
+		Seeds: func() []qhid.Address { return nil }, ConvergenceLimit: n.limit, PeerClient: client, Log: cmp.Or(n.log, zap.NewNop()), Metrics: metrics.NewSet(),
 	})
 	node.feed = feed
 	stopServer := network.serve(string(n.id), feed.Handler())
