qhfeed: Bound the age of what readers serve, and all waits for a version

Cause: a reader of the store answered the watches of its clients with "no change" for up to 1.4 of the convergence limit after it had last heard from the store, and the waits after failures (2 s of grace, 1.5 s of backoff) were chosen without the limit.

--- a/qhfeed/backoff.go
+++ b/qhfeed/backoff.go
@@ -8,6 +8,12 @@
 	"quetzalhaven.dev/qhgroup"
 )
 
+// minBackoff and maxBackoff bound the mean of the random backoff after a failed write.
+const (
+	minBackoff = 100 * time.Millisecond
+	maxBackoff = time.Second
+)
+
 // retryBackoff is a random backoff whose mean doubles with each wait, from
 // minBackoff to maxBackoff.
 type retryBackoff struct{ mean time.Duration }
--- a/qhfeed/disruptions_test.go
+++ b/qhfeed/disruptions_test.go
@@ -93,7 +93,7 @@
 }
 
 func (p *play) start(n *playedNode) {
-	n.testNode, n.started, n.version = n.networkNode.start(p.network), time.Now(), 0
+	n.testNode, n.started, n.version = n.start(p.network), time.Now(), 0
 	n.announce(qhid.Target("t-" + n.id))
 }
 
--- a/qhfeed/feed_test.go
+++ b/qhfeed/feed_test.go
@@ -247,22 +247,17 @@
 		Expect(nodesMaxWait(1000)).To(Equal(maxNodesWait))
 		Expect(strings.HasSuffix(string(prefixOf(configKey)), "/")).To(BeTrue())
 	})
-	It("leave a fifth of the convergence limit after a silent connection to the store", func() {
-		Expect(storeWaitShare + storeGraceShare).To(BeNumerically("<=", 0.8))
-		Expect(maxPauseShare).To(BeNumerically("<=", storeWaitShare))
-	})
 })
 
 var _ = Describe("the grace of the store's responses", func() {
-	It("grows with late and missing responses up to its maximum, and shrinks after one in time", func() {
-		g := newResponseGrace(400 * time.Millisecond)
+	It("grows with late responses up to its maximum, and shrinks after one in time", func() {
+		g := newResponseGrace(400*time.Millisecond, 1200*time.Millisecond)
 		g.recordLateness(time.Millisecond)
 		Expect(g.allowed()).To(Equal(400 * time.Millisecond))
 		g.recordLateness(500 * time.Millisecond)
 		Expect(g.allowed()).To(Equal(time.Second))
-		g.recordMiss()
-		g.recordMiss()
-		Expect(g.allowed()).To(Equal(maxResponseGrace))
+		g.recordLateness(time.Second)
+		Expect(g.allowed()).To(Equal(1200 * time.Millisecond))
 		g.recordLateness(0)
 		Expect(g.allowed()).To(Equal(400 * time.Millisecond))
 	})
--- a/qhfeed/network_test.go
+++ b/qhfeed/network_test.go
@@ -187,7 +187,7 @@
 	if d, _ := c.network.find(c.from, c.to); d == nil && c.pair.silent.Err() == nil {
 		return c.Conn.Close()
 	}
-	return c.Conn.SetDeadline(time.Unix(1, 0))
+	return c.SetDeadline(time.Unix(1, 0))
 }
 
 // memoryListener accepts the connections that dial opens.
--- a/qhfeed/peer.go
+++ b/qhfeed/peer.go
@@ -39,6 +39,10 @@
 	}
 }
 
+// errNotServing is the cause of an error if the other node responded that it cannot serve
+// the request at the moment.
+var errNotServing = errors.New("it does not serve watches, because the store does not respond to it") //nolint:gochecknoglobals // a sentinel error
+
 // post sends a request to another node and returns its decoded response. Errors are
 // of kind Conflict for status 409 and Unavailable if there is no usable response.
 func post[Response any](ctx context.Context, client *http.Client, to qhid.Address, path string, request any) (Response, error) {
@@ -63,6 +67,8 @@
 	case http.StatusOK:
 	case http.StatusNoContent:
 		return response, nil
+	case http.StatusServiceUnavailable:
+		return response, qherr.New(qherr.Unavailable, errNotServing, "the node retries with another node or the store", "the node responded with status %d", resp.StatusCode)
 	case http.StatusConflict:
 		return response, qherr.New(qherr.Conflict, nil, "list again", "the reader does not have the history since that revision")
 	default:
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -94,8 +94,8 @@
 	// rewriteEnd is when the nodes should have written their entries again after
 	// the last restore of the store.
 	rewriteEnd time.Time
-	// skippedUntil has the end of the time for which each failed reader is skipped.
-	skippedUntil map[qhid.Node]time.Time
+	// skipped has the readers that failed.
+	skipped map[qhid.Node]readerSkip
 	// hasLeft is set by Leave; this node's entry is then not written again.
 	hasLeft bool
 	// announced is set by the first Announce.
@@ -134,14 +134,14 @@
 		publishWake:    make(chan struct{}, 1),
 		entryRevisions: make(map[qhid.Node]qhplatform.Revision),
 		departed:       make(map[qhid.Node]departure),
-		skippedUntil:   make(map[qhid.Node]time.Time),
+		skipped:        make(map[qhid.Node]readerSkip),
 
 		silentConnections: options.Metrics.NewCounter("qh_store_silent_connections_total"),
 		arrivals:          newArrivalMetrics(options.Metrics),
 	}
 	f.config = f.newWatcher("configuration", prefixOf(options.ConfigKey), f.applyConfigObjects)
 	f.config.maxWait, f.config.watchInterval = f.configMaxWait, configWatchInterval
-	f.config.proves = true
+	f.config.proves, f.config.retryInterval = true, f.limitShare(retryShare)
 	f.nodes = f.newWatcher("nodes", entryPrefix, f.applyNodeObjects)
 	f.nodes.maxWait, f.nodes.watchInterval = nodesMaxWait, nodesWatchInterval
 	if options.RolloutPrefix != "" {
--- a/qhfeed/reader.go
+++ b/qhfeed/reader.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -96,21 +98,46 @@
 	return chosen, chosen.Node != ""
 }
 
-// skipReader skips a failed reader for readerSkipTime, and restarts all watches, so
-// that none continues through it.
+// readerSkip says how long a failed reader is skipped.
+type readerSkip struct {
+	until time.Time
+	// responded is set if the reader responded that it does not serve watches.
+	responded bool
+}
+
+// skipReader skips a failed reader for readerSkipTime. If it did not respond, the other
+// watches are restarted, so that none continues through it.
 func (f *Feed) skipReader(reader qhid.Node, w *watcher, err error) {
+	responded := errors.Is(err, errNotServing)
 	f.mu.Lock()
-	f.skippedUntil[reader] = time.Now().Add(readerSkipTime)
+	f.skipped[reader] = readerSkip{until: time.Now().Add(readerSkipTime), responded: responded}
 	f.mu.Unlock()
 	f.Log.Info("skipping failed reader", zap.String("member", string(reader)), zap.String("what", w.name), zap.Duration("for", readerSkipTime),
 		zap.Duration("since_response", w.sinceResponse()), zap.Error(err))
-	f.restartWatches(nil)
+	if !responded {
+		f.restartWatches(w)
+	}
+}
+
+// retryReaders ends the skips of readers that responded, which cost little to try. It is
+// called when the store has not responded to this node either.
+func (f *Feed) retryReaders() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	maps.DeleteFunc(f.skipped, func(_ qhid.Node, skip readerSkip) bool { return skip.responded })
+}
+
+// hasReaders reports whether this node watches through readers as long as one is usable.
+func (f *Feed) hasReaders() bool {
+	self := f.Members.Self()
+	readers := readersInZone(f.Members.View().Entries, self.Zone)
+	return len(readers) > 0 && !slices.ContainsFunc(readers, func(reader qhmember.Entry) bool { return reader.Node == self.Node })
 }
 
 func (f *Feed) isSkipped(reader qhid.Node) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return time.Now().Before(f.skippedUntil[reader])
+	return time.Now().Before(f.skipped[reader].until)
 }
 
 const (
--- a/qhfeed/reader_test.go
+++ b/qhfeed/reader_test.go
@@ -285,10 +285,6 @@
 })
 
 var _ = Describe("a client whose readers all stop responding", func() {
-	It("has a quarter of the convergence limit left for the store after trying two of them", func() {
-		Expect(2 * (readerWaitShare + readerGraceShare)).To(BeNumerically("<=", 0.75))
-	})
-
 	It("has a new version in force within the convergence limit", func() {
 		fake := qhplatform.NewFake(qhplatform.FakeOptions{})
 		store := fake.Store()
--- a/qhfeed/serve_watch.go
+++ b/qhfeed/serve_watch.go
@@ -20,12 +20,6 @@
 	// watchPath is the HTTP path on which a reader serves the watches of its
 	// clients.
 	watchPath = "/follow"
-	// readerWaitShare is how long a reader holds a watch at most, and
-	// readerGraceShare is how much longer its response may take, both as a share of
-	// the convergence limit. After two readers in turn did not respond, there is
-	// still time to read from the store.
-	readerWaitShare  = 0.2
-	readerGraceShare = 0.15
 	// readerListTimeout bounds a listing from a reader.
 	readerListTimeout = time.Second
 	// maxServedWait bounds the wait time that a client may request.
@@ -172,7 +166,7 @@
 // response with its status. Only a node that watches the store itself serves
 // watches, so that nodes never watch each other in a cycle.
 func (w *watcher) waitForChanges(ctx context.Context, request watchRequest) (watchResponse, int) {
-	timer := time.NewTimer(min(request.Wait, maxServedWait))
+	timer := time.NewTimer(min(request.Wait, maxServedWait, w.servesFor()))
 	defer timer.Stop()
 	after := position{era: request.Era, revision: request.After}
 	for timedOut := false; ; {
--- a/qhfeed/watcher.go
+++ b/qhfeed/watcher.go
@@ -24,18 +24,9 @@
 	// and applying the objects took. The pause leaves CPU and network to calls when
 	// changes come in quick succession.
 	pauseFactor = 4
-	// maxPauseShare bounds the pause, as a share of the convergence limit.
-	maxPauseShare = 0.3
 	// arrivalFactor is the expected time for a change to arrive, as a multiple of
 	// the time of a listing.
 	arrivalFactor = 1.5
-	// storeWaitShare bounds the time between two responses of the store to watches of
-	// the configuration, and storeGraceShare how much later the response to a watch
-	// may begin until its connection counts as silent, both as a share of the
-	// convergence limit. What remains of it is for reading the change on a new
-	// connection and for passing it on to the clients of a reader.
-	storeWaitShare  = 0.6
-	storeGraceShare = 0.2
 	// provingWait bounds the time that the store holds a watch that has to prove soon
 	// that the configuration is the newest.
 	provingWait = time.Second
@@ -53,13 +44,9 @@
 	// the longest. The time is random, so that the watches of the nodes do not end
 	// together.
 	minWaitShare = 2.0 / 3
-	// resumeWait is how long the store holds the first watch after a failed one.
-	// Its response tells soon whether the store was restored meanwhile.
+	// resumeWait is how long a source holds a watch that has to tell soon whether the
+	// source responds, and whether the store was restored meanwhile.
 	resumeWait = 10 * time.Millisecond
-	// minBackoff and maxBackoff bound the mean of the random backoff after a failed
-	// call.
-	minBackoff = 100 * time.Millisecond
-	maxBackoff = time.Second
 )
 
 // batch is a set of objects that a watcher has received.
@@ -129,12 +116,19 @@
 	pause, pauseEnd atomic.Int64
 	// restartWatch ends the current watch, which may have missed a change.
 	restartWatch chan struct{}
+	// retryInterval is the longest time between two calls to a store that does not
+	// respond.
+	retryInterval time.Duration
+	// lastCall is when the last call to a store that does not respond began. Only run
+	// uses it.
+	lastCall time.Time
 }
 
 func (f *Feed) newWatcher(name string, prefix qhplatform.Key, apply func(batch)) *watcher {
 	w := &watcher{feed: f, name: name, prefix: prefix, apply: apply, cache: newObjectCache(), restartWatch: make(chan struct{}, 1)}
 	w.lastResponse.Store(time.Now().UnixNano())
-	w.grace = newResponseGrace(f.limitShare(storeGraceShare))
+	w.grace = newResponseGrace(f.limitShare(storeGraceShare), f.limitShare(maxStoreGraceShare))
+	w.retryInterval = f.ConvergenceLimit
 	f.Metrics.NewGauge(`qh_store_era{what="`+name+`"}`, func() float64 { return float64(w.era.Load()) })
 	f.Metrics.NewGauge(`qh_store_revision{what="`+name+`"}`, func() float64 { return float64(w.revision.Load()) })
 	f.Metrics.NewGauge(`qh_store_followed{what="`+name+`"}`, func() float64 {
@@ -148,12 +142,18 @@
 
 func (w *watcher) healthy() bool { return w.listed.Load() && !w.failing.Load() }
 
-// canServeWatches reports whether this node may serve the watches of other nodes: it
-// watches the store itself, and the last response of the store is not older than after
-// a watch on a silent connection and a second one on a new connection.
-func (w *watcher) canServeWatches() bool {
-	longest := w.maxWait(totalReaders(w.feed.Members.View().Entries)) + 2*w.grace.allowed()
-	return w.watchesStore.Load() && w.sinceResponse() < longest
+// canServeWatches reports whether this node may serve the watches of other nodes.
+func (w *watcher) canServeWatches() bool { return w.servesFor() > 0 }
+
+// servesFor returns how long this node may serve the watches of other nodes without
+// another response: while it watches the store itself, and as long as a silent connection
+// and a response on a new one may take.
+func (w *watcher) servesFor() time.Duration {
+	if !w.watchesStore.Load() {
+		return 0
+	}
+	longest := w.maxWait(totalReaders(w.feed.Members.View().Entries)) + w.grace.allowed() + w.feed.limitShare(reconnectShare)
+	return longest - w.sinceResponse()
 }
 
 // sinceResponse returns the age of the last response of the store or a reader.
@@ -164,21 +164,18 @@
 // run lists the objects and then watches for changes. It lists again whenever the
 // store no longer has the history, or was restored from a copy.
 func (w *watcher) run(ctx context.Context) {
-	backoff := newRetryBackoff()
 	for ctx.Err() == nil {
 		source := w.nextSource()
 		w.checkedEra = w.feed.knownEra()
 		start := time.Now()
-		source.askedAt = w.feed.Proof.Now()
-		listing, err := source.list(ctx)
+		listing, err := w.list(ctx, &source)
 		if err == nil {
 			err = w.checkListing(source, listing)
 		}
 		if err != nil {
-			w.recordFailure(ctx, source, err, backoff)
+			w.recordFailure(ctx, source, err)
 			continue
 		}
-		backoff.reset()
 		w.listingTime.Store(int64(time.Since(start)))
 		w.recordResponse(source)
 		w.setPosition(w.position.advance(position{era: listing.Era, revision: listing.Revision}))
@@ -192,8 +189,17 @@
 		}
 		w.confirm(source)
 		w.feed.checkReady()
-		w.watchChanges(ctx, backoff)
+		w.watchChanges(ctx)
+	}
+}
+
+// list lists the objects at the source, and sets when it was asked.
+func (w *watcher) list(ctx context.Context, source *watchSource) (qhplatform.Listing, error) {
+	if source.isStore() {
+		return repeatCall(ctx, w, source, source.list)
 	}
+	source.askedAt = w.feed.Proof.Now()
+	return source.list(ctx)
 }
 
 // checkListing logs a listing and returns an error if it is older than the known
@@ -235,14 +241,13 @@
 
 // watchChanges applies changes until the store no longer has the history, was
 // restored from a copy, or ctx ends.
-func (w *watcher) watchChanges(ctx context.Context, backoff *retryBackoff) {
+func (w *watcher) watchChanges(ctx context.Context) {
 	for ctx.Err() == nil {
 		if w.feed.knownEra() > max(w.position.era, w.checkedEra) {
 			return // the store holds a watch from a revision that it has again
 		}
 		source := w.nextSource()
-		source.askedAt = w.feed.Proof.Now()
-		changes, err := w.watch(ctx, source)
+		changes, err := w.watch(ctx, &source)
 		if ctx.Err() == nil && w.continues(err) {
 			continue
 		}
@@ -261,10 +266,9 @@
 			err = w.olderResponseError(next)
 		}
 		if err != nil {
-			w.recordFailure(ctx, source, err, backoff)
+			w.recordFailure(ctx, source, err)
 			continue
 		}
-		backoff.reset()
 		w.recordResponse(source)
 		w.setPosition(w.position.advance(next))
 		w.cache.add(changes.Objects, w.position)
@@ -311,7 +315,6 @@
 // the other watches may be silent too.
 func (w *watcher) reconnect() {
 	w.reconnecting = true
-	w.grace.recordMiss()
 	w.feed.Log.Warn("connection to the store is silent, continuing on a new one", zap.String("what", w.name), zap.Duration("since_response", w.sinceResponse()))
 	w.feed.silentConnections.Inc()
 	w.feed.restartWatches(w)
@@ -368,14 +371,34 @@
 )
 
 // watch waits for changes until the source ends the watch, the watch is restarted, or
-// the store does not respond in time. It is not cancelled once the response has begun to
-// arrive.
-func (w *watcher) watch(ctx context.Context, source watchSource) (qhplatform.Changes, error) {
+// the store does not respond in time. It sets when the source was asked.
+func (w *watcher) watch(ctx context.Context, source *watchSource) (qhplatform.Changes, error) {
+	if source.isStore() && (w.failing.Load() || w.reconnecting) {
+		return repeatCall(ctx, w, source, func(ctx context.Context) (qhplatform.Changes, error) {
+			return w.watchOnce(ctx, *source, resumeWait)
+		})
+	}
+	source.askedAt, w.lastCall = w.feed.Proof.Now(), time.Now()
+	return w.watchHeld(ctx, *source, w.nextWait(*source))
+}
+
+// watchOnce waits for changes once, and records by how much the store's response is late.
+func (w *watcher) watchOnce(ctx context.Context, source watchSource, wait time.Duration) (qhplatform.Changes, error) {
+	start := time.Now()
+	changes, err := source.watch(ctx, w.position, wait)
+	if elapsed := time.Since(start); err == nil && source.isStore() && elapsed >= wait {
+		w.grace.recordLateness(elapsed - wait)
+	}
+	return changes, err
+}
+
+// watchHeld waits for changes while the source holds the watch. It is not cancelled once
+// the response has begun to arrive.
+func (w *watcher) watchHeld(ctx context.Context, source watchSource, wait time.Duration) (qhplatform.Changes, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	var responding atomic.Bool
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { responding.Store(true) }})
-	wait, start := w.nextWait(source), time.Now()
 	late := make(<-chan time.Time)
 	if source.isStore() {
 		timer := time.NewTimer(wait + w.grace.allowed())
@@ -397,33 +420,21 @@
 			cancel(cause)
 		}
 	})
-	changes, err := source.watch(ctx, w.position, wait)
-	if err != nil {
-		for _, cause := range []error{errWatchRestarted, errSilent} {
-			if errors.Is(context.Cause(ctx), cause) {
-				return qhplatform.Changes{}, cause
-			}
+	changes, err := w.watchOnce(ctx, source, wait)
+	for _, cause := range []error{errWatchRestarted, errSilent} {
+		if err != nil && errors.Is(context.Cause(ctx), cause) {
+			return qhplatform.Changes{}, cause
 		}
-		return changes, err
-	}
-	if elapsed := time.Since(start); source.isStore() && elapsed >= wait {
-		w.grace.recordLateness(elapsed - wait)
 	}
-	return changes, nil
+	return changes, err
 }
 
-// nextWait returns how long the source should hold the next watch: not at all after a
-// failed one, and at the store only as long as the last response does not get too old.
+// nextWait returns how long the source should hold the next watch: only as long as the
+// last response does not get too old.
 func (w *watcher) nextWait(source watchSource) time.Duration {
-	if w.failing.Load() || w.reconnecting {
-		return resumeWait
-	}
 	shortest := time.Duration(minWaitShare * float64(source.maxWait))
 	wait := shortest + rand.N(source.maxWait-shortest)
-	if source.isStore() {
-		wait = max(resumeWait, min(wait, source.maxWait-w.sinceResponse()))
-	}
-	return wait
+	return max(resumeWait, min(wait, source.maxWait-w.sinceResponse()))
 }
 
 func (f *Feed) configMaxWait(int) time.Duration {
@@ -438,11 +449,6 @@
 	return min(max(time.Duration(nodes)*nodesWaitPerNode, minNodesWait), maxNodesWait)
 }
 
-// limitShare returns a share of the convergence limit.
-func (f *Feed) limitShare(share float64) time.Duration {
-	return time.Duration(share * float64(f.ConvergenceLimit))
-}
-
 // recordResponse records a successful call.
 func (w *watcher) recordResponse(source watchSource) {
 	w.gap = w.sinceResponse()
@@ -453,23 +459,20 @@
 	}
 }
 
-// recordFailure records a failed call. A reader that failed is skipped for
-// readerSkipTime; the store is called again after the backoff.
-func (w *watcher) recordFailure(ctx context.Context, source watchSource, err error, backoff *retryBackoff) {
+// recordFailure records that a source failed: the store in a round of calls, or a reader,
+// which is then skipped.
+func (w *watcher) recordFailure(ctx context.Context, source watchSource, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	if !source.isStore() {
-		w.feed.skipReader(source.reader.Node, w, err)
+	if source.isStore() {
+		w.startFailing(err)
+		w.feed.retryReaders()
 		return
 	}
-	if errors.Is(err, errSilent) {
-		w.grace.recordMiss()
-	}
-	if !w.failing.Swap(true) {
-		w.watchesStore.Store(false)
-		w.cache.notify() // ends the waiting watches of clients, which then choose another reader
-		w.feed.Log.Warn("store unreachable", zap.String("what", w.name), zap.Duration("since_response", w.sinceResponse()), zap.Error(err))
-	}
-	backoff.wait(ctx)
+	w.feed.skipReader(source.reader.Node, w, err)
+}
+
+func (w *watcher) logUnreachable(cause error) {
+	w.feed.Log.Warn("store unreachable", zap.String("what", w.name), zap.Duration("since_response", w.sinceResponse()), zap.Error(cause))
 }
