qhfeed: Count the age of a response on the clock that includes suspension

The age of the last response was taken from the time of day: a jump of it made a reader refuse its clients or, backwards, serve what it had not confirmed for as long as the jump. It now stands on the steady clock that counts suspended time, as the proof of tenants does, so that a reader that was suspended serves only after another response.

TestReaderDoesNotServeWhatItKnewBeforeItWasSuspended failed before: a reader still served 6 s of suspension later.

--- a/qhfeed/disruptions_test.go
+++ b/qhfeed/disruptions_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -386,3 +387,20 @@
 		}
 	})
 }
+
+// TestReaderDoesNotServeWhatItKnewBeforeItWasSuspended suspends the VM of a reader, whose
+// steady clock then stands still.
+func TestReaderDoesNotServeWhatItKnewBeforeItWasSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		RegisterTestingT(t)
+		p := newPlay(38, 2*time.Second)
+		reader := p.nodes[0]
+		reader.suspended = new(atomic.Int64)
+		defer p.startZone()()
+		Expect(reader.feed.config.canServeWatches()).To(BeTrue())
+		reader.suspended.Add(int64(6 * time.Second))
+		Expect(reader.feed.config.canServeWatches()).To(BeFalse())
+		p.advance(p.limit)
+		Expect(reader.feed.config.canServeWatches()).To(BeTrue(), "after another response of the store")
+	})
+}
--- a/qhfeed/network_test.go
+++ b/qhfeed/network_test.go
@@ -10,16 +10,19 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
 
+	"quetzalhaven.dev/qhclock"
 	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhhold"
 	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhkey"
 	"quetzalhaven.dev/qhmember"
 	"quetzalhaven.dev/qhplatform"
 )
@@ -298,6 +301,8 @@
 	applyTime time.Duration
 	// log may be nil.
 	log *zap.Logger
+	// suspended is added to the clock of the node.
+	suspended *atomic.Int64
 }
 
 // start starts the node. It uses the store through the client of qhplatform.
@@ -310,10 +315,19 @@
 	store, closeStore := qhplatform.NewHTTP(qhplatform.HTTPOptions{
 		BaseURL: "http://" + storeHost + ":1", RateLimit: 10, Dial: network.dialFrom(string(n.id), 2*time.Second),
 	})
+	started := time.Now()
+	clock := func() qhclock.Instant {
+		now := qhclock.Instant(time.Since(started))
+		if n.suspended != nil {
+			now = now.Add(time.Duration(n.suspended.Load()))
+		}
+		return now
+	}
 	client := newPeerClient(network.dialFrom(string(n.id), exchangeTimeout))
 	feed, stopFeed := New(Options{
 		ConfigKey: configKey, DecodeConfig: n.decode, Store: store, Holder: node.holder, Members: node.members,
-		Seeds: func() []qhid.Address { return nil }, ConvergenceLimit: n.limit, PeerClient: client, Log: cmp.Or(n.log, zap.NewNop()), Metrics: metrics.NewSet(),
+		Seeds: func() []qhid.Address { return nil }, ConvergenceLimit: n.limit, PeerClient: client,
+		Proof: qhkey.NewProof(0, clock), Log: cmp.Or(n.log, zap.NewNop()), Metrics: metrics.NewSet(),
 	})
 	node.feed = feed
 	stopServer := network.serve(string(n.id), feed.Handler())
--- a/qhfeed/watcher.go
+++ b/qhfeed/watcher.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"quetzalhaven.dev/qhclock"
 	"quetzalhaven.dev/qherr"
 	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhplatform"
@@ -89,8 +90,8 @@
 	// watchesStore is set while the objects come from the store and not from a
 	// reader.
 	watchesStore atomic.Bool
-	// lastResponse is the time of the last successful call to the store or a
-	// reader, in Unix nanoseconds.
+	// lastResponse is the qhclock.Instant of the last successful call to the store or a
+	// reader. The time for which the VM was suspended counts towards its age.
 	lastResponse atomic.Int64
 	// gap is the time between the last two responses. Only run uses it.
 	gap time.Duration
@@ -112,7 +113,7 @@
 	// listingTime is the duration of the last listing, in nanoseconds.
 	listingTime atomic.Int64
 	// pause is how long the watcher pauses after a change, in nanoseconds, and
-	// pauseEnd is when the last pause ends, in Unix nanoseconds.
+	// pauseEnd is the qhclock.Instant at which the last pause ends.
 	pause, pauseEnd atomic.Int64
 	// restartWatch ends the current watch, which may have missed a change.
 	restartWatch chan struct{}
@@ -126,7 +127,7 @@
 
 func (f *Feed) newWatcher(name string, prefix qhplatform.Key, apply func(batch)) *watcher {
 	w := &watcher{feed: f, name: name, prefix: prefix, apply: apply, cache: newObjectCache(), restartWatch: make(chan struct{}, 1)}
-	w.lastResponse.Store(time.Now().UnixNano())
+	w.lastResponse.Store(int64(f.Proof.Now()))
 	w.grace = newResponseGrace(f.limitShare(storeGraceShare), f.limitShare(maxStoreGraceShare))
 	w.retryInterval = f.ConvergenceLimit
 	f.Metrics.NewGauge(`qh_store_era{what="`+name+`"}`, func() float64 { return float64(w.era.Load()) })
@@ -158,7 +159,7 @@
 
 // sinceResponse returns the age of the last response of the store or a reader.
 func (w *watcher) sinceResponse() time.Duration {
-	return time.Since(time.Unix(0, w.lastResponse.Load()))
+	return w.feed.Proof.Now().Since(qhclock.Instant(w.lastResponse.Load()))
 }
 
 // run lists the objects and then watches for changes. It lists again whenever the
@@ -276,7 +277,7 @@
 		w.confirm(source)
 		if len(changes.Objects) > 0 {
 			pause := time.Duration(w.pause.Load())
-			w.pauseEnd.Store(time.Now().Add(pause).UnixNano())
+			w.pauseEnd.Store(int64(w.feed.Proof.Now().Add(pause)))
 			qhgroup.Sleep(ctx, pause)
 		}
 	}
@@ -359,7 +360,7 @@
 // expectedArrival returns the time within which this node should have received a
 // change that other nodes already have.
 func (w *watcher) expectedArrival() time.Duration {
-	remaining := max(0, time.Duration(w.pauseEnd.Load()-time.Now().UnixNano()))
+	remaining := max(0, qhclock.Instant(w.pauseEnd.Load()).Since(w.feed.Proof.Now()))
 	return remaining + configWatchInterval + time.Duration(arrivalFactor*float64(w.listingTime.Load()))
 }
 
@@ -452,7 +453,7 @@
 // recordResponse records a successful call.
 func (w *watcher) recordResponse(source watchSource) {
 	w.gap = w.sinceResponse()
-	w.lastResponse.Store(time.Now().UnixNano())
+	w.lastResponse.Store(int64(w.feed.Proof.Now()))
 	w.watchesStore.Store(source.isStore())
 	if w.failing.Swap(false) {
 		w.feed.Log.Info("watch works again", zap.String("what", w.name), zap.String("reader", string(source.reader.Node)))
