qhproxy: Read bodies in chunks ahead, so that equal requests are known

Callers that sent a request in chunks that crashes its targets got 502 from a further target after three had ended: a body in chunks was known by its length only, which is not known, so that the same body with a length and in chunks counted as two requests.

A body in chunks is read for up to 50 ms and 64 KB before the call is sent. One that has ended by then is a small body like any other: compared, sent with a length, and sent again if an attempt fails. Else, or if the caller waits for 100 Continue, the rest is streamed as before.

--- a/qhproxy/body.go
+++ b/qhproxy/body.go
@@ -53,15 +53,25 @@
 }
 
 // newRequestBody reads a small body completely, so that a slow sender does not
-// occupy a slot.
-func newRequestBody(r *http.Request) (*requestBody, error) {
-	body := &requestBody{length: r.ContentLength}
+// occupy a slot. One of unknown length is read completely if it arrives soon and its caller
+// does not wait to be asked for it. The group runs the reads of others.
+func newRequestBody(r *http.Request, group *qhgroup.Group) (*requestBody, error) {
+	body := &requestBody{length: r.ContentLength, group: group}
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return body, nil
 	}
 	if len(r.Trailer) > 0 {
 		body.length = -1 // trailers require chunked encoding
 	}
+	if r.ContentLength < 0 && len(r.Trailer) == 0 && r.Header.Get("Expect") == "" {
+		ahead := startReadAhead(group, r.Body)
+		if content, ok := ahead.complete(); ok {
+			body.buffer, body.length = content, int64(len(content))
+			return body, nil
+		}
+		body.stream = ahead
+		return body, nil
+	}
 	if body.length < 0 || body.length > maxBufferedRequest {
 		body.stream = r.Body
 		return body, nil
--- a/qhproxy/body_test.go
+++ b/qhproxy/body_test.go
@@ -12,7 +12,7 @@
 var _ = Describe("a streamed request body", func() {
 	large := strings.Repeat("x", maxBufferedRequest+1)
 	body := func() *requestBody {
-		b, err := newRequestBody(httptest.NewRequest("POST", "/", strings.NewReader(large)))
+		b, err := newRequestBody(httptest.NewRequest("POST", "/", strings.NewReader(large)), nil)
 		Expect(err).NotTo(HaveOccurred())
 		return b
 	}
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -256,7 +256,7 @@
 		_ = controller.SetReadDeadline(deadline)
 		c.request.Body = http.MaxBytesReader(w, c.request.Body, limit)
 	}
-	body, err := newRequestBody(c.request)
+	body, err := newRequestBody(c.request, c.proxy.group)
 	if err != nil {
 		return notExecuted(qhdecision.BadBody, http.StatusBadRequest, 0, err.Error())
 	}
@@ -264,7 +264,6 @@
 	if body.stream != nil && c.request.ProtoMajor == 1 {
 		_ = controller.EnableFullDuplex() // the target may respond before the whole body was sent
 	}
-	body.group = c.proxy.group
 	c.body = body
 	return nil
 }
