qhquota: Give tokens a lifetime, so that no number of pools exceeds an allowance

A tenant could use 75 tokens in 5 s where 72.8 may be (two nodes, rate 8, burst 8): each of several keepers may have a full pool, so that after a change of keeper, with callers idle, more tokens existed than burst and excess allow.

Change: a token may be used until as many have been minted after it as burst and excess allow together. Pools need not know of each other. A node keeps 0.2 s of its own demand in place of 0.25 s, since what it keeps and does not need now ends after 0.6 s.

--- a/qhquota/local.go
+++ b/qhquota/local.go
@@ -36,10 +36,22 @@
 // Message is what a node sends to the keeper of pools. It is valid in itself: tokens
 // that it brings were taken out of the sender's purses before.
 type Message struct {
-	// Tokens are added to the pools.
-	Tokens map[Key]float64 `json:"t,omitempty"`
+	// Surplus is added to the pools.
+	Surplus map[Key]Surplus `json:"s,omitempty"`
 	// Wanted are tokens that the sender asks for.
 	Wanted map[Key]float64 `json:"w,omitempty"`
+	// RepliedAt is the At of the last Reply of the receiver that the sender has, and
+	// ReplyAge the time since it came, on the sender's clock. The message was not sent
+	// before the sum of both, on the receiver's clock.
+	RepliedAt qhclock.Instant `json:"r,omitempty"`
+	ReplyAge  time.Duration   `json:"a,omitempty"`
+}
+
+// Surplus is a number of tokens that the sender does not need.
+type Surplus struct {
+	Tokens float64 `json:"n"`
+	// Age is the age of the oldest when the message was sent.
+	Age time.Duration `json:"a"`
 }
 
 // Reply is the answer to a Message.
@@ -50,6 +62,8 @@
 	Waits map[Key]time.Duration `json:"w,omitempty"`
 	// Full lists the keys whose pools are full.
 	Full []Key `json:"f,omitempty"`
+	// At is when the message was answered, on the clock of the keeper.
+	At qhclock.Instant `json:"at"`
 }
 
 // Options configures a Local. All fields are required.
@@ -88,6 +102,8 @@
 	keepUntil map[Key]qhclock.Instant
 	// skippedUntil has the keepers that did not respond.
 	skippedUntil map[qhid.Node]qhclock.Instant
+	// replies has the last reply of each keeper that responds.
+	replies map[qhid.Node]keeperReply
 	// asks has the messages that calls wait for, by keeper.
 	asks map[qhid.Node]*ask
 	// mostNodes is the largest number of nodes since mostNodesAt.
@@ -95,6 +111,10 @@
 	mostNodesAt qhclock.Instant
 }
 
+// keeperReply is when a keeper replied last, on its clock, and when the reply came, on the
+// clock of this node.
+type keeperReply struct{ at, arrived qhclock.Instant }
+
 // ask collects what calls want of a keeper while the message before is under way.
 type ask struct {
 	keys map[Key]int
@@ -109,7 +129,7 @@
 	return &Local{
 		Options: options, refused: options.Metrics.NewCounter("qh_quota_refusals_total"),
 		purses: make(map[Key]*purse), pools: make(map[Key]*pool), emptyUntil: make(map[Key]qhclock.Instant),
-		keepUntil: make(map[Key]qhclock.Instant), skippedUntil: make(map[qhid.Node]qhclock.Instant), asks: make(map[qhid.Node]*ask),
+		keepUntil: make(map[Key]qhclock.Instant), skippedUntil: make(map[qhid.Node]qhclock.Instant), replies: make(map[qhid.Node]keeperReply), asks: make(map[qhid.Node]*ask),
 	}
 }
 
@@ -251,10 +271,12 @@
 	defer l.mu.Unlock()
 	now := l.Now()
 	if err != nil {
+		delete(l.replies, keeper)
 		l.skippedUntil[keeper] = now.Add(skipTime)
 		l.Log.Info("keeper of allowances does not respond; another is used", zap.String("member", string(keeper)), zap.Error(err))
 		return
 	}
+	l.replies[keeper] = keeperReply{at: reply.At, arrived: now}
 	for key, tokens := range reply.Lent {
 		if _, asked := message.Wanted[key]; asked && tokens <= message.Wanted[key] {
 			l.purseOf(key, now).add(tokens, askedAt)
@@ -282,10 +304,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
-	reply := Reply{Lent: make(map[Key]float64), Waits: make(map[Key]time.Duration)}
-	for key, tokens := range message.Tokens {
+	reply := Reply{Lent: make(map[Key]float64), Waits: make(map[Key]time.Duration), At: now}
+	sentAt := message.RepliedAt.Add(message.ReplyAge)
+	for key, surplus := range message.Surplus {
 		limit, ok := l.Limit(key)
-		if ok && tokens > 0 && l.poolOf(key).add(now, tokens, limit) {
+		if ok && sentAt <= now && surplus.Age >= 0 && l.poolOf(key).add(now, surplus.Tokens, sentAt.Add(-surplus.Age), limit) {
 			reply.Full = append(reply.Full, key)
 		}
 	}
@@ -317,16 +340,41 @@
 // Run mints tokens and sends the surplus to the pools until the context ends.
 func (l *Local) Run(ctx context.Context) {
 	for qhgroup.Sleep(ctx, sendInterval) {
-		for keeper, message := range l.surplus() {
-			l.exchange(ctx, keeper, message)
+		l.sendSurplus(ctx)
+	}
+}
+
+// sendSurplus sends the surplus of all keys to their keepers. One that has not replied yet
+// is asked for its clock first.
+func (l *Local) sendSurplus(ctx context.Context) {
+	keys := l.Keys()
+	for keeper, known := range l.keepersOf(keys) {
+		if !known {
+			l.exchange(ctx, keeper, Message{})
 		}
 	}
+	for keeper, message := range l.surplus(keys) {
+		l.exchange(ctx, keeper, message)
+	}
+}
+
+// keepersOf returns the keepers of the keys, and whether each has replied.
+func (l *Local) keepersOf(keys []Key) map[qhid.Node]bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Now()
+	keepers := make(map[qhid.Node]bool)
+	for _, key := range keys {
+		if keeper, found := l.keeperOf(key, now); found {
+			_, keepers[keeper] = l.replies[keeper]
+		}
+	}
+	return keepers
 }
 
 // surplus takes the tokens that this node does not need out of its purses, by the keeper
 // to send them to. It also forgets keys that have no limit any more.
-func (l *Local) surplus() map[qhid.Node]Message {
-	keys := l.Keys()
+func (l *Local) surplus(keys []Key) map[qhid.Node]Message {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Now()
@@ -340,15 +388,18 @@
 		p := l.purseOf(key, now)
 		p.mint(now, limit, nodes)
 		keeper, found := l.keeperOf(key, now)
-		if !found || l.keepUntil[key] > now {
+		reply, known := l.replies[keeper]
+		if !found || !known || l.keepUntil[key] > now {
+			continue
+		}
+		surplus := p.withdrawSurplus(now)
+		if surplus.Tokens <= 0 {
 			continue
 		}
-		if tokens := p.withdrawSurplus(now); tokens > 0 {
-			if messages[keeper].Tokens == nil {
-				messages[keeper] = Message{Tokens: make(map[Key]float64)}
-			}
-			messages[keeper].Tokens[key] = tokens
+		if messages[keeper].Surplus == nil {
+			messages[keeper] = Message{Surplus: make(map[Key]Surplus), RepliedAt: reply.at, ReplyAge: now.Since(reply.arrived)}
 		}
+		messages[keeper].Surplus[key] = surplus
 	}
 	if len(l.purses) > len(keys) || len(l.pools) > len(keys) {
 		l.forget()
@@ -393,7 +444,7 @@
 	for key, p := range l.purses {
 		use := Use{Key: key, Tokens: p.total(), Demand: p.demandRate(now), Refused: p.refused}
 		if kept := l.pools[key]; kept != nil {
-			use.Pool = kept.tokens
+			use.Pool = kept.tokens.total()
 		}
 		uses = append(uses, use)
 	}
--- a/qhquota/purse.go
+++ b/qhquota/purse.go
@@ -1,8 +1,8 @@
 // Package qhquota bounds the use of something by all nodes together, such as the calls
 // of a tenant. Tokens are minted by each node in proportion and moved between nodes,
-// never copied: in any window no more can be used than was minted in and shortly before
-// it, whoever is cut off, paused, restarted or replaced. docs/design/tenants.md tells
-// more.
+// never copied, and each is valid for a bounded time after it was minted: in any window no
+// more can be used than was minted in it and shortly before, whoever is cut off, paused,
+// restarted or replaced. docs/design/tenants.md tells more.
 package qhquota
 
 import (
@@ -26,37 +26,37 @@
 	Excess float64
 }
 
-// purses returns how many tokens all purses together may hold.
-func (l Limit) purses() float64 {
-	return min(l.Rate*purseTime.Seconds(), purseShare*max(l.Burst+l.Excess-l.loans(), 0))
+// lifetime is how long after it was minted a token may be used: as many are minted in it
+// as Burst and Excess allow beyond Rate.
+func (l Limit) lifetime() time.Duration {
+	return time.Duration(max(l.Burst+l.Excess, 0) / l.Rate * float64(time.Second))
 }
 
-// pools returns how many tokens a pool may hold: what Burst and Excess leave beside
-// purses and loans, so that all tokens that exist are never more.
-func (l Limit) pools() float64 { return max(l.Burst+l.Excess-l.loans()-l.purses(), 0) }
+// purseLifetime is the lifetime of a token in the purse of the node that minted it.
+func (l Limit) purseLifetime() time.Duration { return min(purseTime, l.lifetime()) }
 
-// loans returns how many tokens of loans may exist beside those in purses and pools.
-func (l Limit) loans() float64 { return l.Rate * loanTime.Seconds() }
+// poolLifetime is how old a token may be when it is lent out of a pool.
+func (l Limit) poolLifetime() time.Duration { return max(l.lifetime()-loanTime, 0) }
 
 const (
-	// purseShare is the part of the tokens that may exist that purses hold at most, and
-	// purseTime the time of whose rate they hold as many: a little more than between
-	// two messages to the pools.
-	purseShare = 0.4
-	purseTime  = 600 * time.Millisecond
+	// purseTime is how long a token stays in the purse of the node that minted it: a
+	// little longer than between two messages to the pools.
+	purseTime = 600 * time.Millisecond
+	// fullShare is the part of the tokens of a pool's lifetime from which it is full.
+	fullShare = 0.8
 	// loanTime is how long tokens from a pool are valid, from when they were asked
 	// for.
 	loanTime = 300 * time.Millisecond
 	// demandHalfLife is the half-life of the measured demand.
 	demandHalfLife = time.Second
 	// keepTime is the time of whose demand as many tokens stay in a purse.
-	keepTime = 250 * time.Millisecond
+	keepTime = 200 * time.Millisecond
 )
 
 // purse has the tokens of one key on one node.
 type purse struct {
-	// tokens are those that this node minted, as of mintedAt.
-	tokens   float64
+	// minted are the tokens that this node minted, as of mintedAt.
+	minted   batches
 	mintedAt qhclock.Instant
 	// loans are tokens from a pool, ordered by when they expire.
 	loans []loan
@@ -79,37 +79,34 @@
 // mint adds this node's part of the tokens since the last time. nodes is the number of
 // nodes; 0 mints nothing.
 func (p *purse) mint(now qhclock.Instant, limit Limit, nodes int) {
-	elapsed := max(now.Since(p.mintedAt), 0).Seconds()
+	lifetime := limit.purseLifetime()
+	from := max(p.mintedAt, now.Add(-lifetime))
 	p.mintedAt = max(now, p.mintedAt)
-	if nodes <= 0 {
-		return
+	p.minted.expire(now, lifetime)
+	if nodes > 0 && from < now {
+		p.minted.add(now.Since(from).Seconds()*limit.Rate/float64(nodes), from, lifetime)
 	}
-	p.tokens = min(p.tokens+elapsed*limit.Rate/float64(nodes), limit.purses()/float64(nodes))
 }
 
 // take uses one token, if there is one.
 func (p *purse) take(now qhclock.Instant) bool {
 	p.expire(now)
-	if p.tokens >= 1 {
-		p.tokens--
-		return true
-	}
-	missing := 1.0
-	if p.total() < missing {
+	if p.total() < 1 {
 		return false
 	}
+	missing := 1.0
 	for i := range p.loans {
 		used := min(p.loans[i].tokens, missing)
 		p.loans[i].tokens -= used
 		missing -= used
 	}
-	p.tokens = max(p.tokens-missing, 0)
+	p.minted.takeOldest(missing)
 	return true
 }
 
 // total returns all tokens.
 func (p *purse) total() float64 {
-	total := p.tokens
+	total := p.minted.total()
 	for _, l := range p.loans {
 		total += l.tokens
 	}
@@ -150,30 +147,27 @@
 }
 
 // withdrawSurplus takes the minted tokens out that this node does not need itself.
-func (p *purse) withdrawSurplus(now qhclock.Instant) float64 {
-	keep := p.demandRate(now) * keepTime.Seconds()
-	surplus := p.tokens - keep
-	if surplus <= 0 {
-		return 0
-	}
-	p.tokens = keep
-	return surplus
+func (p *purse) withdrawSurplus(now qhclock.Instant) Surplus {
+	tokens, from := p.minted.takeNewest(p.demandRate(now) * keepTime.Seconds())
+	return Surplus{Tokens: tokens, Age: now.Since(from)}
 }
 
 // pool has the tokens of one key that other nodes do not need.
 type pool struct {
-	tokens float64
+	tokens batches
 	// inflow is the decayed number of tokens received, as of inflowAt.
 	inflow   float64
 	inflowAt qhclock.Instant
 }
 
-// add adds tokens up to the capacity, and reports whether the pool is full.
-func (p *pool) add(now qhclock.Instant, tokens float64, limit Limit) bool {
+// add adds tokens that were minted from a moment on, and reports whether the pool is full.
+func (p *pool) add(now qhclock.Instant, tokens float64, mintedAt qhclock.Instant, limit Limit) bool {
+	lifetime := limit.poolLifetime()
 	p.inflow = p.decayedInflow(now) + tokens
 	p.inflowAt = now
-	p.tokens = min(p.tokens+tokens, limit.pools())
-	return p.tokens >= limit.pools()
+	p.tokens.add(tokens, mintedAt, lifetime)
+	p.tokens.expire(now, lifetime)
+	return p.tokens.total() >= fullShare*limit.Rate*lifetime.Seconds()
 }
 
 func (p *pool) decayedInflow(now qhclock.Instant) float64 {
@@ -183,12 +177,11 @@
 // lend takes tokens out of the pool: as many as wanted, or what there is. If that is
 // less than one, it returns 0 and the time after which there should be one.
 func (p *pool) lend(now qhclock.Instant, wanted float64, limit Limit) (float64, time.Duration) {
-	p.tokens = min(p.tokens, limit.pools()) // the limit may have been lowered
-	lent := min(max(wanted, 0), p.tokens)
-	if lent < 1 {
-		rate := max(p.decayedInflow(now)*math.Ln2/demandHalfLife.Seconds(), 1/maxRetryAfter.Seconds())
-		return 0, min(time.Duration((1-p.tokens)/rate*float64(time.Second)), maxRetryAfter)
+	p.tokens.expire(now, limit.poolLifetime())
+	available := p.tokens.total()
+	if lent := min(max(wanted, 0), available); lent >= 1 {
+		return p.tokens.takeOldest(lent), 0
 	}
-	p.tokens -= lent
-	return lent, 0
+	rate := max(p.decayedInflow(now)*math.Ln2/demandHalfLife.Seconds(), 1/maxRetryAfter.Seconds())
+	return 0, min(time.Duration((1-available)/rate*float64(time.Second)), maxRetryAfter)
 }
--- a/qhquota/qhquota_test.go
+++ b/qhquota/qhquota_test.go
@@ -51,9 +51,17 @@
 // isStill reports whether the node does nothing at a moment of the fleet's time.
 func (n *playedNode) isStill(now time.Duration) bool { return n.paused || now < n.suspendedUntil }
 
-// playedFleet plays nodes in steps of playTick. Its messages arrive at once or never.
+// heldMessage is a message that a cut holds back. Its sender takes it for lost.
+type heldMessage struct {
+	from, to *playedNode
+	message  Message
+}
+
+// playedFleet plays nodes in steps of playTick. Its messages arrive at once, or when a cut
+// ends.
 type playedFleet struct {
 	nodes []*playedNode
+	held  []heldMessage
 	limit Limit
 	now   time.Duration
 	// settledAt is when the window that begins at the end of the last suspension ends.
@@ -84,9 +92,13 @@
 		Now: func() qhclock.Instant { return n.clock }, Group: f.group, Log: zap.NewNop(), Metrics: metrics.NewSet(),
 		Send: func(_ context.Context, to qhid.Node, message Message) (Reply, error) {
 			for _, other := range f.nodes {
-				if other.id == to && !other.cut && !n.cut && !other.isStill(f.now) {
+				if other.id != to {
+					continue
+				}
+				if !other.cut && !n.cut && !other.isStill(f.now) {
 					return other.local.Answer(message), nil
 				}
+				f.held = append(f.held, heldMessage{from: n, to: other, message: message})
 			}
 			return Reply{}, errors.New("no response")
 		},
@@ -101,18 +113,28 @@
 	f.settledAt = f.now + suspension + window
 }
 
+// deliverHeld delivers the messages whose nodes are no longer cut off or still.
+func (f *playedFleet) deliverHeld() {
+	f.held = slices.DeleteFunc(f.held, func(held heldMessage) bool {
+		if held.from.cut || held.to.cut || held.to.isStill(f.now) {
+			return false
+		}
+		held.to.local.Answer(held.message)
+		return true
+	})
+}
+
 // step lets a tick pass. calls is the number of calls at each node.
 func (f *playedFleet) step(calls func(node int) int) {
 	f.now += playTick
+	f.deliverHeld()
 	for i, n := range f.nodes {
 		n.clock = n.clock.Add(playTick)
 		if n.isStill(f.now) {
 			continue
 		}
 		if f.now%sendInterval == 0 {
-			for keeper, message := range n.local.surplus() {
-				n.local.exchange(context.Background(), keeper, message)
-			}
+			n.local.sendSurplus(context.Background())
 		}
 		for range calls(i) {
 			if n.local.Take(context.Background(), tenant).Granted {
@@ -260,3 +282,24 @@
 	from := slices.IndexFunc(f.used, func(at time.Duration) bool { return at > f.now-window })
 	g.Expect(float64(len(f.used) - from)).To(BeNumerically("<=", f.bound()))
 }
+
+// TestSurplusThatWasHeldBackCountsAsOld delivers messages late, or as no node sends them.
+func TestSurplusThatWasHeldBackCountsAsOld(t *testing.T) {
+	g := NewWithT(t)
+	f := newPlayedFleet(2, newLimit(40, 40))
+	defer f.stop()
+	keeper := f.nodes[0].local
+	send := func(message Message) float64 {
+		message.Surplus = map[Key]Surplus{tenant: {Tokens: 10, Age: message.Surplus[tenant].Age}}
+		keeper.Answer(message)
+		return keeper.poolOf(tenant).tokens.total()
+	}
+	f.step(func(int) int { return 0 })
+	at := keeper.Answer(Message{}).At
+	g.Expect(send(Message{RepliedAt: at})).To(BeEquivalentTo(10))
+	f.nodes[0].clock = f.nodes[0].clock.Add(f.limit.lifetime())
+	g.Expect(send(Message{RepliedAt: at})).To(BeZero(), "held back for the lifetime of a token")
+	g.Expect(send(Message{RepliedAt: at, ReplyAge: f.limit.lifetime()})).To(BeEquivalentTo(10))
+	g.Expect(send(Message{RepliedAt: at, ReplyAge: 2 * f.limit.lifetime()})).To(BeEquivalentTo(10), "sent in the future")
+	g.Expect(send(Message{RepliedAt: at, ReplyAge: f.limit.lifetime(), Surplus: map[Key]Surplus{tenant: {Age: -time.Hour}}})).To(BeEquivalentTo(10), "of negative age")
+}
