qhspread: Put no version in force until a starting node has asked all sources

Cause: a starting node put each version in force as it came. Its parent or a peer that was behind sent 2 before the head had been read, although the platform had 5 and responded. The node then waited for its peers to have the version of the head and did not load it itself. Ruled out: the shorter watch of the head; the node does not watch before it has a slot.

Change: until the initial synchronization has ended a node knows versions and passes them on, and has none in force; then it puts the newest in force. If no peer has the version of the head within 0.5 s it loads it.

The tests of the version store begin with a store that has ended the synchronization, as theirs was.

--- a/qhspread/property_test.go
+++ b/qhspread/property_test.go
@@ -41,7 +41,7 @@
 		configs, invalid := drawVersions(t)
 		nodes := make([]*versionStore, 4)
 		for i := range nodes {
-			nodes[i] = newVersionStore(qhhold.New(qhhold.Options{}), zap.NewNop())
+			nodes[i] = newSyncedStore(qhhold.New(qhhold.Options{}), zap.NewNop())
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			i := rapid.IntRange(0, len(nodes)-1).Draw(t, "node")
@@ -72,7 +72,7 @@
 				at := rapid.IntRange(0, len(configs)-1).Draw(t, "version")
 				_, _ = node.applyFull(qhid.Version(at+1), "00", configs[at])
 			case 4: // a restart without state
-				nodes[i] = newVersionStore(qhhold.New(qhhold.Options{}), zap.NewNop())
+				nodes[i] = newSyncedStore(qhhold.New(qhhold.Options{}), zap.NewNop())
 				continue
 			}
 			now, digest := node.latest()
@@ -193,7 +193,7 @@
 		diffs := []qhconfig.Diff{qhconfig.Compare(changed, base), qhconfig.Compare(base, changed)}
 		packed, _ := qhwire.Pack(base)
 		b.Run(fmt.Sprintf("diff/%d", services), func(b *testing.B) {
-			node := newVersionStore(qhhold.New(qhhold.Options{}), zap.NewNop())
+			node := newSyncedStore(qhhold.New(qhhold.Options{}), zap.NewNop())
 			_, _ = node.applyFull(1, digests[0], base)
 			for i := range b.N {
 				diff := diffs[(i+1)%2]
@@ -205,7 +205,7 @@
 			b.ReportMetric(float64(frameSize(diffs[1])), "frame-B")
 		})
 		b.Run(fmt.Sprintf("whole/%d", services), func(b *testing.B) {
-			node := newVersionStore(qhhold.New(qhhold.Options{}), zap.NewNop())
+			node := newSyncedStore(qhhold.New(qhhold.Options{}), zap.NewNop())
 			for i := range b.N {
 				if newer, err := node.applyFull(qhid.Version(i+1), digests[i%2], configs[i%2]); !newer || err != nil {
 					b.Fatal(newer, err)
--- a/qhspread/startup.go
+++ b/qhspread/startup.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"quetzalhaven.dev/qhid"
 )
 
 const (
@@ -17,13 +19,18 @@
 	startupPollInterval = 20 * time.Millisecond
 	// startupPeers bounds the peers from which a starting node pulls.
 	startupPeers = 3
+	// startupPeerWait is how long a starting node waits for its peers to have the version
+	// of the head, until it loads it from the platform.
+	startupPeerWait = 500 * time.Millisecond
 )
 
 // initialSync waits for a parent or a relay slot, then fetches the newest version
-// from peers and reads the head from the platform. The node is ready when it has
-// the version of the head or when the timeout has passed.
+// from peers and reads the head from the platform. The node is ready, and puts the newest
+// known version in force, when it has the version of the head or when the timeout has
+// passed.
 func (s *Spreader) initialSync(ctx context.Context) {
 	defer close(s.ready)
+	defer s.versions.release()
 	ctx, cancel := context.WithTimeout(ctx, startupTimeout)
 	defer cancel()
 	for ctx.Err() == nil && s.needsParent() {
@@ -37,9 +44,22 @@
 		return
 	}
 	s.platformContact.record()
-	for ctx.Err() == nil {
-		if known, _ := s.versions.latest(); known >= head.Version {
-			return
+	if !s.waitForVersion(ctx, head.Version) {
+		_ = s.loadVersion(ctx, head) // loadVersion logs the failure; anti-entropy and the parent go on
+	}
+}
+
+// waitForVersion reports whether the version, or a newer one, is known within
+// startupPeerWait.
+func (s *Spreader) waitForVersion(ctx context.Context, version qhid.Version) bool {
+	ctx, cancel := context.WithTimeout(ctx, startupPeerWait)
+	defer cancel()
+	for {
+		if known, _ := s.versions.latest(); known >= version {
+			return true
+		}
+		if ctx.Err() != nil {
+			return false
 		}
 		sleep(ctx, startupPollInterval)
 	}
--- a/qhspread/version_store.go
+++ b/qhspread/version_store.go
@@ -27,6 +27,9 @@
 	log    *zap.Logger
 
 	mu sync.Mutex
+	// synced is set by release. Until then versions are known, and not in force: an
+	// older one may arrive first.
+	synced bool
 	// version is the newest known version. It never decreases.
 	version  qhid.Version
 	digest   qhid.Digest
@@ -120,8 +123,25 @@
 
 func (v *versionStore) replace(version qhid.Version, digest qhid.Digest, config qhconfig.Config) {
 	v.version, v.digest, v.config = version, digest, config
-	if _, err := v.holder.Apply(version, config, digest); err != nil {
-		v.log.Warn("version refused on this node but passed on to others", zap.Uint64("version", uint64(version)), zap.Error(err))
+	if v.synced {
+		v.offer()
+	}
+}
+
+// release puts the newest known version in force, and from then on each newer one.
+func (v *versionStore) release() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.synced = true
+	if v.version > 0 {
+		v.offer()
+	}
+}
+
+// offer offers the newest known version to the holder. The lock is held.
+func (v *versionStore) offer() {
+	if _, err := v.holder.Apply(v.version, v.config, v.digest); err != nil {
+		v.log.Warn("version refused on this node but passed on to others", zap.Uint64("version", uint64(v.version)), zap.Error(err))
 	}
 }
 
--- a/qhspread/version_store_test.go
+++ b/qhspread/version_store_test.go
@@ -27,7 +27,7 @@
 	second, toSecond := addService(first, 1, "booking")
 	newNode := func() (*versionStore, *qhhold.Holder) {
 		holder := qhhold.New(qhhold.Options{})
-		return newVersionStore(holder, zap.NewNop()), holder
+		return newSyncedStore(holder, zap.NewNop()), holder
 	}
 
 	It("applies the newest full configuration and no earlier version", func() {
@@ -64,7 +64,7 @@
 		return config
 	}
 	// ahead has applied each version after the first by its diff.
-	ahead := newVersionStore(qhhold.New(qhhold.Options{}), zap.NewNop())
+	ahead := newSyncedStore(qhhold.New(qhhold.Options{}), zap.NewNop())
 	var before qhconfig.Config
 	for version := qhid.Version(1); version <= versions; version++ {
 		config := configOf(version)
@@ -86,7 +86,7 @@
 	DescribeTable("applies the newest version only",
 		func(behindVersion qhid.Version) {
 			set := metrics.NewSet()
-			behind := newVersionStore(qhhold.New(qhhold.Options{Metrics: set}), zap.NewNop())
+			behind := newSyncedStore(qhhold.New(qhhold.Options{Metrics: set}), zap.NewNop())
 			if behindVersion > 0 {
 				config := configOf(behindVersion)
 				_, err := behind.applyFull(behindVersion, config.Digest(), config)
@@ -106,3 +106,10 @@
 		Entry("when it is two versions behind", qhid.Version(2)),
 	)
 })
+
+// newSyncedStore returns the store of a node that has ended its initial synchronization.
+func newSyncedStore(holder *qhhold.Holder, log *zap.Logger) *versionStore {
+	v := newVersionStore(holder, log)
+	v.release()
+	return v
+}
--- a/qhspread/version_test.go
+++ b/qhspread/version_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhplatform"
 	"quetzalhaven.dev/qhstatus"
@@ -86,6 +87,24 @@
 		expectMembers(f.all())
 	})
 
+	It("is the first one in force on a node that restarts, although its peers are behind the platform", func() {
+		access := newPlatformAccess()
+		f.store = func(id qhid.Node) qhplatform.Store { return access.store(id, f.platform.Store()) }
+		f.commit()
+		nodes := f.start("kigali-a", 4)
+		expectVersion(nodes, 1)
+		access.setUnreachable(true, nodes...)
+		newest := f.commitVersions(1, 3)
+		nodes[3].kill()
+		f.platform.SetFaults(qhplatform.Faults{Delay: qhconfig.Duration(300 * time.Millisecond)})
+		access.setUnreachable(false, nodes[3])
+		restarted := f.startNode("kigali-a", nodes[3].id, nodes[0].address)
+		var first qhid.Version
+		Eventually(func() qhid.Version { first = restarted.versionInForce(); return first }).WithPolling(time.Millisecond).WithTimeout(waitTimeout).ShouldNot(BeZero())
+		Expect(first).To(Equal(newest))
+		Eventually(restarted.Ready(), waitTimeout).Should(BeClosed())
+	})
+
 	It("never decreases when the platform returns an old head", func() {
 		access := newPlatformAccess()
 		f.store = func(id qhid.Node) qhplatform.Store { return access.store(id, f.platform.Store()) }
