qhconn: Tell silent connections by the steady clock

The time since a connection between nodes last received bytes was taken from the time of day. A jump of it made all connections with calls suspect at once, or hid a silent one for as long as the jump. It now counts from the opening of the connection on the steady clock.

--- a/qhconn/conn.go
+++ b/qhconn/conn.go
@@ -61,8 +61,9 @@
 	// beforeWrite is asked before the first write of the current request; nil if
 	// there is nothing to ask, or it was asked.
 	beforeWrite func() error
-	// lastRead is when bytes were last received, in nanoseconds of the Unix
-	// epoch.
+	// opened is when the connection was opened, and lastRead when bytes were last
+	// received, in nanoseconds since then on the steady clock.
+	opened   time.Time
 	lastRead atomic.Int64
 	// firstRead is closed when the first bytes are received.
 	firstRead     chan struct{}
@@ -109,12 +110,17 @@
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.lastRead.Store(time.Now().UnixNano())
+		c.lastRead.Store(int64(time.Since(c.opened)))
 		c.firstReadOnce.Do(func() { close(c.firstRead) })
 	}
 	return n, err
 }
 
+// sinceRead returns how long nothing has been received.
+func (c *trackedConn) sinceRead(now time.Time) time.Duration {
+	return now.Sub(c.opened) - time.Duration(c.lastRead.Load())
+}
+
 // writeCount returns the number of writes that were started.
 func (c *trackedConn) writeCount() int {
 	c.mu.Lock()
@@ -155,8 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{Conn: conn, firstRead: make(chan struct{})}
-	tracked.lastRead.Store(time.Now().UnixNano())
+	tracked := &trackedConn{Conn: conn, opened: time.Now(), firstRead: make(chan struct{})}
 	if holder, ok := ctx.Value(trackedConnKey{}).(**trackedConn); ok {
 		*holder = tracked
 	}
--- a/qhconn/nodes.go
+++ b/qhconn/nodes.go
@@ -19,8 +19,8 @@
 	PingIdleTimeout = 500 * time.Millisecond
 	// PingTimeout is how long the acknowledgement of a ping may take.
 	PingTimeout = time.Second
-	// suspectAfter is how long a connection with in-flight calls may receive
-	// nothing before it is suspect, so that new calls use another connection.
+	// suspectAfter is how long a connection may receive nothing, not even the
+	// acknowledgement of a ping, before it is suspect, so that new calls use another one.
 	suspectAfter = PingIdleTimeout + PingTimeout/4
 	// streamBufferSize and connBufferSize are the flow-control windows in bytes.
 	// The connection window covers all streams, so that a slow stream does not
@@ -237,11 +237,10 @@
 	})
 }
 
-// isSuspect reports whether the connection has in-flight calls but has received
-// nothing for so long that a ping acknowledgement is overdue.
+// isSuspect reports whether the connection has received nothing for so long that a ping
+// acknowledgement is overdue.
 func (c *nodeConn) isSuspect(now time.Time) bool {
-	sinceRead := now.Sub(time.Unix(0, c.tracked.lastRead.Load()))
-	return sinceRead > suspectAfter && c.client.InFlight() > 0
+	return c.tracked.sinceRead(now) > suspectAfter && c.client.InFlight() > 0
 }
 
 // close closes all connections.
