qhconn: Send no call over an idle connection that is silent

Cause: a connection counted as suspect only with calls in flight. An idle one, pinged every 0.5 s like the others, took one more call although its acknowledgement was overdue; in a large fleet most connections are idle. Calls that are already under way when a connection becomes silent remain unknown until it is closed, 1.5 s after its last byte.

--- a/qhconn/nodes.go
+++ b/qhconn/nodes.go
@@ -240,7 +240,7 @@
 // isSuspect reports whether the connection has received nothing for so long that a ping
 // acknowledgement is overdue.
 func (c *nodeConn) isSuspect(now time.Time) bool {
-	return c.tracked.sinceRead(now) > suspectAfter && c.client.InFlight() > 0
+	return c.tracked.sinceRead(now) > suspectAfter
 }
 
 // close closes all connections.
--- a/qhconn/nodes_test.go
+++ b/qhconn/nodes_test.go
@@ -106,6 +106,17 @@
 		Expect(<-firstErr).To(HaveOccurred())
 	})
 
+	It("sends the first call over a new connection if the idle one does not acknowledge pings", func() {
+		server := newH2Server()
+		f, address := newForwarder(server)
+		pool := newTestNodePool()
+		Expect(get(pool, address)).To(Equal("whole"))
+		f.Blackhole()
+		time.Sleep(suspectAfter + (PingTimeout-suspectAfter+PingIdleTimeout)/2) // the connection is not closed yet
+		Expect(get(pool, address)).To(Equal("whole"))
+		Expect(server.connCount.Load()).To(BeEquivalentTo(2))
+	})
+
 	It("sends nothing to an unresponsive node whose connections are accepted", func() {
 		server := newH2Server()
 		f, address := newForwarder(server)
