qhcrash: Keep calls from targets until a started node knows the quarantined requests

Callers saw a request that had crashed three targets crash more after nodes were restarted. Cause: a started node knew no counts until the first of its comparisons, one a second with one random node, which may itself have just started; until then it let the request through. The class: in use again after a restart.

A started node now asks up to eight nodes of the service at once, and its calls to targets wait for the end of that: until an informed node has answered, all are known to know nothing, or 0.5 s. Answers say whether the sender is informed.

Ruled out: waiting for one random node, since with all nodes restarted in turn it may know nothing; waiting without telling who is informed, since after a restart of the whole service all would wait for the timeout.

--- a/qhcrash/local.go
+++ b/qhcrash/local.go
@@ -51,6 +51,9 @@
 type Message struct {
 	Service  qhid.Service `json:"s"`
 	Findings []Finding    `json:"r,omitempty"`
+	// Informed is set if the sender has heard what other nodes know of the service, or
+	// knows that they know nothing.
+	Informed bool `json:"i,omitempty"`
 }
 
 // Options configures New. All fields are required.
@@ -61,6 +64,8 @@
 	Services func() []qhid.Service
 	// Peers returns the other nodes with targets of a service.
 	Peers func(qhid.Service) []qhid.Node
+	// PeersKnown returns a channel that is closed once Peers knows the nodes.
+	PeersKnown func() <-chan struct{}
 	// Send sends a message to another node and returns its response.
 	Send    func(ctx context.Context, to qhid.Node, message Message) (Message, error)
 	Now     func() time.Time
@@ -81,11 +86,13 @@
 	// lost has the requests whose connection was lost, by target, until the target
 	// has been probed.
 	lost map[qhid.Target][]Fingerprint
+	// inquiries has the inquiry of each service that has a target on this VM.
+	inquiries map[qhid.Service]*inquiry
 }
 
 // New returns a Local that compares its ledger with other nodes once Run runs.
 func New(options Options) *Local {
-	l := &Local{Options: options, ledger: NewLedger(options.Quarantine, options.Now), lost: make(map[qhid.Target][]Fingerprint)}
+	l := &Local{Options: options, ledger: NewLedger(options.Quarantine, options.Now), lost: make(map[qhid.Target][]Fingerprint), inquiries: make(map[qhid.Service]*inquiry)}
 	l.ends = options.Metrics.NewCounter("qh_crash_ends_total")
 	l.refusals = options.Metrics.NewCounter("qh_crash_refusals_total")
 	options.Metrics.NewGauge("qh_crash_quarantined", func() float64 {
@@ -210,20 +217,20 @@
 		if attempt > 0 && !qhgroup.Sleep(ctx, sendInterval) {
 			return
 		}
-		if err = l.exchange(ctx, peer, message); err == nil {
+		if _, err = l.exchange(ctx, peer, message); err == nil {
 			return
 		}
 	}
 	l.Log.Warn("cannot tell a node of the end of a target; it learns of it from another one", zap.String("member", string(peer)), zap.Error(err))
 }
 
-// exchange sends a message and merges the response.
-func (l *Local) exchange(ctx context.Context, peer qhid.Node, message Message) error {
+// exchange sends a message, merges the response and returns it.
+func (l *Local) exchange(ctx context.Context, peer qhid.Node, message Message) (Message, error) {
 	response, err := l.Send(ctx, peer, message)
 	if err == nil {
 		l.merge(response)
 	}
-	return err
+	return response, err
 }
 
 func (l *Local) merge(message Message) {
@@ -233,36 +240,38 @@
 // Answer merges the message of another node and returns the response.
 func (l *Local) Answer(message Message) Message {
 	l.merge(message)
-	return Message{Service: message.Service, Findings: l.ledger.Findings(message.Service)}
+	return Message{Service: message.Service, Findings: l.ledger.Findings(message.Service), Informed: l.inquiryOf(message.Service).isInformed()}
 }
 
-// Run compares the ledger with random nodes of the own services until ctx ends: until one
-// has responded after the start of this node, and while targets have ended under
-// requests.
+// Run asks the other nodes of the own services what they know, and then compares the
+// ledger with random ones until ctx ends: while this node is not informed, and while
+// targets have ended under requests.
 func (l *Local) Run(ctx context.Context) {
-	compared := make(map[qhid.Service]bool)
 	for ; ctx.Err() == nil; qhgroup.Sleep(ctx, compareInterval/2+rand.N(compareInterval)) {
 		for _, service := range l.Services() {
-			if !compared[service] || len(l.ledger.Findings(service)) > 0 {
-				compared[service] = l.compare(ctx, service) || compared[service]
+			inquiry := l.inquiryOf(service)
+			if inquiry.isDone() && (!inquiry.isInformed() || len(l.ledger.Findings(service)) > 0) {
+				l.compare(ctx, service, inquiry)
 			}
 		}
 	}
 }
 
-// compare gets the findings of a random other node of the service. It returns false if
-// there is none or it does not respond.
-func (l *Local) compare(ctx context.Context, service qhid.Service) bool {
+// compare gets the findings of a random other node of the service, if there is one.
+func (l *Local) compare(ctx context.Context, service qhid.Service, inquiry *inquiry) {
 	peers := l.Peers(service)
 	if len(peers) == 0 {
-		return false
+		return
 	}
 	peer := peers[rand.IntN(len(peers))]
-	err := l.exchange(ctx, peer, Message{Service: service})
+	response, err := l.exchange(ctx, peer, Message{Service: service})
 	if err != nil {
 		l.Log.Info("cannot compare the ends of targets with another node", zap.String("member", string(peer)), zap.Error(err))
+		return
+	}
+	if response.Informed {
+		inquiry.informed.Store(true)
 	}
-	return err == nil
 }
 
 // Release ends the quarantine of a request on all nodes of its service. It returns false
--- a/qhnode/qhserve/crash.go
+++ b/qhnode/qhserve/crash.go
@@ -24,7 +24,7 @@
 	}
 	client := qhfeed.NewPeerClient()
 	n.crashes = qhcrash.New(qhcrash.Options{
-		Quarantine: quarantine, Services: n.localServices, Peers: n.otherNodesOf, Now: time.Now, Group: n.group, Log: n.Log, Metrics: n.metrics,
+		Quarantine: quarantine, Services: n.localServices, Peers: n.otherNodesOf, PeersKnown: func() <-chan struct{} { return n.source.ready }, Now: time.Now, Group: n.group, Log: n.Log, Metrics: n.metrics,
 		Send: func(ctx context.Context, to qhid.Node, message qhcrash.Message) (qhcrash.Message, error) {
 			entry, _ := n.members.Get(to) // an entry without an address fails to be called
 			return qhfeed.Ask[qhcrash.Message](ctx, client, entry.PeerAddress, crashPath, message)
--- a/qhproxy/crash.go
+++ b/qhproxy/crash.go
@@ -35,8 +35,12 @@
 }
 
 // admit waits for a slot of the target. It refuses a quarantined request, also one that
-// was quarantined while the call waited.
+// was quarantined while the call waited. A node that has just started first asks the
+// others which requests are quarantined.
 func (p *Proxy) admit(ctx context.Context, guard *qhguard.Guard, admission qhguard.AdmissionRequest, request qhcrash.Fingerprint) (*qhguard.Permit, *failure) {
+	if request != "" {
+		p.Crashes.AwaitInformed(ctx, guard.Info().Service)
+	}
 	if f := p.checkQuarantine(request); f != nil {
 		return nil, f
 	}
