qhbalance: Place calls by expected latency over all availability zones

Cause: a call left its zone only for a target below 0.8 of its slots, and there waited 1 ms at most, so that a fifth of the other zones' room stayed empty and all queueing was at home.

Now the zones compete by expected latency, with a margin of 0.05 of the objective for the own zone, and a call may wait equally long everywhere. A refusal of a target of another zone is remembered like one of the own zone (RecordFull, a second without calls, is gone).

--- a/qhbalance/choose.go
+++ b/qhbalance/choose.go
@@ -25,9 +25,9 @@
 	// availability zone, as a percentage of its slots, from which on other zones
 	// are considered.
 	defaultSpillPercent = 80
-	// maxRemoteLoadPercent is the load, as a percentage of its slots, from which
-	// on an endpoint of another availability zone gets no spill-over.
-	maxRemoteLoadPercent = 80
+	// spillMarginShare is the fraction of the latency objective by which an endpoint of
+	// another availability zone has to be expected to respond earlier.
+	spillMarginShare = 0.05
 	// coldPercent is the percentage of its regular share of calls that an
 	// endpoint in the announced state cold gets, and a new one at first.
 	coldPercent = 10
@@ -98,8 +98,8 @@
 	// RunnerUp is the endpoint that lost the comparison, or nil.
 	RunnerUp *qhmember.Endpoint
 	Reason   qhdecision.Reason
-	// HasCapacity is set when a remote endpoint was chosen because it is expected
-	// to have free slots.
+	// HasCapacity is set when a remote endpoint was chosen because it is expected to
+	// respond earlier than those of the own availability zone.
 	HasCapacity bool
 	// LocalFull is set when a remote endpoint was chosen because those of the own
 	// availability zone are known to have no room in time.
@@ -128,7 +128,8 @@
 // Choose returns the endpoint for a call of the service, or false if every
 // endpoint that accepts calls was tried before. It prefers usable endpoints
 // whose load is below the limits, first in the own availability zone, then in
-// others. If there are none, it may choose a full endpoint, and a group of
+// others if those are expected to respond earlier. If there are none, it may choose a
+// full endpoint, and a group of
 // which most endpoints are unusable is in panic mode: its endpoints that are
 // ejected or on a down node are considered too.
 func (b *Balancer) Choose(view *qhmember.View, service *qhconfig.Service, tried *TriedEndpoints, now time.Time) (Choice, bool) {
@@ -147,16 +148,16 @@
 	pool := b.pools.forService(view, service.Name)
 	pool.local.refresh(now)
 	pool.remote.refresh(now)
-	local := selection{balancer: b, group: &pool.local, service: service, tried: tried, now: now, priority: need.Priority, patience: need.LocalPatience, accepts: need.Accepts}
+	local := selection{balancer: b, group: &pool.local, service: service, tried: tried, now: now, priority: need.Priority, patience: need.Patience, accepts: need.Accepts}
 	localChoice := local.chooseBetter(qhdecision.OwnZone)
 	if localChoice.hasLoadBelow(b.spillPercent, now) || localChoice.hasLatencyBelow(localLatencyShare*float64(need.Objective), now) {
 		return localChoice, true
 	}
 	remote := local
-	remote.group, remote.patience, remote.skippedFull = &pool.remote, need.RemotePatience, false
+	remote.group, remote.skippedFull = &pool.remote, false
 	remoteChoice := remote.chooseBetter(qhdecision.OtherZone)
 	remoteChoice.LocalFull = localChoice.Endpoint == nil && local.skippedFull
-	if remoteChoice.hasLoadBelow(maxRemoteLoadPercent, now) {
+	if remoteChoice.Endpoint != nil && !isFull(remoteChoice.Endpoint, now) && (localChoice.Endpoint == nil || isWorthSpill(remoteChoice.Endpoint, localChoice.Endpoint, need.Objective, now)) {
 		remoteChoice.HasCapacity = true
 		if localChoice.Endpoint != nil {
 			remoteChoice.Reason, remoteChoice.RunnerUp = qhdecision.SpillOver, localChoice.Endpoint
@@ -330,6 +331,15 @@
 	return expectedLatency(a, latencyA, now) < expectedLatency(b, latencyB, now)
 }
 
+// isWorthSpill reports whether remote is expected to respond earlier than local by so
+// much that the call leaves the own availability zone. An endpoint without a measured
+// latency counts as fast as the other one.
+func isWorthSpill(remote, local *qhmember.Endpoint, objective time.Duration, now time.Time) bool {
+	remoteLatency, localLatency := remote.Stats.Latency.Load(), local.Stats.Latency.Load()
+	remoteLatency, localLatency = cmp.Or(remoteLatency, localLatency, 1), cmp.Or(localLatency, remoteLatency, 1)
+	return expectedLatency(remote, remoteLatency, now)+spillMarginShare*float64(objective) < expectedLatency(local, localLatency, now)
+}
+
 const (
 	// utilizationPenalty is the relative latency increase at a target whose slots
 	// are all in use, including the new call.
--- a/qhbalance/observe.go
+++ b/qhbalance/observe.go
@@ -109,15 +109,6 @@
 	return duration, true
 }
 
-// fullDuration is how long an endpoint that had no free slot counts as full.
-// The proxy records this for endpoints of other availability zones only.
-const fullDuration = time.Second
-
-// RecordFull records that the endpoint had no free slot.
-func RecordFull(endpoint *qhmember.Endpoint, now time.Time) {
-	RecordFullFor(endpoint, fullDuration, now)
-}
-
 // RecordFullFor records that the endpoint takes no calls for a time.
 func RecordFullFor(endpoint *qhmember.Endpoint, duration time.Duration, now time.Time) {
 	endpoint.Stats.FullUntil.Store(now.Add(duration).UnixNano())
--- a/qhbalance/room.go
+++ b/qhbalance/room.go
@@ -24,9 +24,8 @@
 	Objective time.Duration
 	// Priority 0 is the most urgent.
 	Priority int
-	// LocalPatience and RemotePatience are how long the call may wait for a slot of
-	// an endpoint of the own availability zone and of another one; 0 means no bound.
-	LocalPatience, RemotePatience time.Duration
+	// Patience is how long the call may wait for a slot of an endpoint; 0 means no bound.
+	Patience time.Duration
 	// Accepts reports whether the call may be sent to an endpoint; nil for all.
 	Accepts func(*qhmember.Endpoint) bool
 }
--- a/qhbalance/room_test.go
+++ b/qhbalance/room_test.go
@@ -17,7 +17,7 @@
 	b, service := newSeededBalancer(), &qhconfig.Service{Name: "booking"}
 	full, free, remote := newEndpoint(0, "a"), newEndpoint(1, "a"), newEndpoint(2, "b")
 	view := newView(full, free, remote)
-	need := Need{Objective: 100 * time.Millisecond, Priority: 1, LocalPatience: 40 * time.Millisecond, RemotePatience: time.Millisecond}
+	need := Need{Objective: 100 * time.Millisecond, Priority: 1, Patience: 40 * time.Millisecond}
 	choose := func(need Need, after time.Duration) (Choice, bool) {
 		return b.ChooseFor(view, service, &TriedEndpoints{}, startTime.Add(after), need)
 	}
--- a/qhproxy/attempts.go
+++ b/qhproxy/attempts.go
@@ -27,7 +27,7 @@
 		if !ok || c.countRemoteZoneAttempt(choice) {
 			return c.sendToEarliestFree(ctx, failed)
 		}
-		resp, f := c.tryEndpoint(ctx, choice, c.maxQueueWait(choice.Endpoint))
+		resp, f := c.tryEndpoint(ctx, choice, c.patience())
 		if f == nil {
 			return resp, nil
 		}
@@ -53,14 +53,13 @@
 	if objective == 0 {
 		return qhbalance.Need{Priority: c.priority()}
 	}
-	return qhbalance.Need{Objective: objective, Priority: c.priority(), LocalPatience: c.localPatience(), RemotePatience: remoteZoneQueueWait}
+	return qhbalance.Need{Objective: objective, Priority: c.priority(), Patience: c.patience()}
 }
 
 // countRemoteZoneAttempt counts an attempt in another availability zone and
 // reports whether it must not be made, because it exceeds the limit or its
-// endpoint has no free capacity.
-// Once a target of the own zone was tried, the limit applies: targets of other
-// zones are used only for spill-over into free slots, and more attempts would
+// endpoint is not expected to have room earlier.
+// Once a target of the own zone was tried, the limit applies, since more attempts would
 // only add traffic between zones.
 func (c *call) countRemoteZoneAttempt(choice qhbalance.Choice) bool {
 	if choice.Endpoint.Zone == c.proxy.Zone || !c.triedLocalZone {
@@ -105,14 +104,9 @@
 }
 
 const (
-	// localZoneQueueShare is the fraction of the latency objective that a call
-	// may wait at one target of the own availability zone before other targets
-	// are tried.
-	localZoneQueueShare = 0.4
-	// remoteZoneQueueWait is how long a call may wait at a target of another
-	// zone after a target of the own zone was tried. It is so short that the
-	// call gets a slot only if one is free.
-	remoteZoneQueueWait = time.Millisecond
+	// queueShare is the fraction of the latency objective that a call may wait at one
+	// target before other targets are tried.
+	queueShare = 0.4
 	// lastQueueShare is the fraction of the time until the latency objective is
 	// missed that a call may wait at its last target.
 	lastQueueShare = 0.75
@@ -124,21 +118,10 @@
 	maxRemoteZoneAttempts = 2
 )
 
-// maxQueueWait returns how long the call may wait for a slot of a target before
-// another one is tried. It is 0, meaning no limit, on routes without a latency
-// objective.
-func (c *call) maxQueueWait(endpoint *qhmember.Endpoint) time.Duration {
-	if c.triedLocalZone && endpoint.Zone != c.proxy.Zone && c.route.LatencyObjective > 0 {
-		return remoteZoneQueueWait
-	}
-	return c.localPatience()
-}
-
-// localPatience returns how long the call may wait for a slot of one target of the
-// own availability zone before others are tried; 0 on routes without a latency
-// objective.
-func (c *call) localPatience() time.Duration {
-	return time.Duration(localZoneQueueShare * float64(c.route.LatencyObjective))
+// patience returns how long the call may wait for a slot of one target before others are
+// tried; 0, meaning no limit, on routes without a latency objective.
+func (c *call) patience() time.Duration {
+	return time.Duration(queueShare * float64(c.route.LatencyObjective))
 }
 
 // lastPatience returns how long the call may wait at its last target; 0, meaning no
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -86,9 +86,6 @@
 		if !f.ReachedTarget { // a target that sheds load may run the next call
 			qhbalance.RecordRefusal(endpoint, c.priority(), f.RetryAfter, time.Now())
 		}
-		if endpoint.Zone != c.proxy.Zone {
-			qhbalance.RecordFull(endpoint, time.Now())
-		}
 	case qhdecision.RateLimited:
 		endpoint.Stats.Refusals.Add(1)
 		qhbalance.RecordFullFor(endpoint, f.RetryAfter, time.Now())
