qhproxy: Order calls at a full service by how tight their objective is too

Cause: check and save have the same priority; a refused save made all nodes believe that no call of that priority has room, and at the guard a save that returned, with little of its objective left, went before a check.

The rank of a call is now its priority, and within it the level of its latency objective, each halving from 1 s on a level. The guard's queue, its fairness and the known room of targets go by rank, so that saves are not starved either.

Shown: TestShortCallsAreNotHeldUpByLongOnes, 5,959 of 6,560 in time with one priority, now all.

--- a/qhguard/fairness.go
+++ b/qhguard/fairness.go
@@ -3,12 +3,14 @@
 import (
 	"math"
 	"time"
+
+	"quetzalhaven.dev/qhmember"
 )
 
 const (
 	// priorityLevels is the number of distinct priorities; higher values count as
 	// the last one.
-	priorityLevels = 8
+	priorityLevels = qhmember.RoomLevels
 	// fairnessHalfLife is the half-life of the request and admission counts.
 	fairnessHalfLife = 3 * time.Second
 	// starvationRatio is the ratio of a priority's admission rate to the
--- a/qhguard/priority_test.go
+++ b/qhguard/priority_test.go
@@ -112,6 +112,22 @@
 	g.Expect(results[0].onTime).To(BeNumerically(">=", results[0].sent*97/100))
 }
 
+// TestShortCallsAreNotHeldUpByLongOnes sends one and a half times the load that a target
+// can run. Short calls of targets, which hold slots elsewhere, come with long ones, of
+// which a part has been refused before and has little time left.
+func TestShortCallsAreNotHeldUpByLongOnes(t *testing.T) {
+	g := NewWithT(t)
+	results := runWorkloads(t, 12, 20*time.Second,
+		workload{"saves", 2, 50, 120 * time.Millisecond, 400 * time.Millisecond, time.Second},
+		workload{"saves", 2, 40, 120 * time.Millisecond, 180 * time.Millisecond, 800 * time.Millisecond},
+		workload{"checks", 0, 328, 22 * time.Millisecond, 100 * time.Millisecond, 250 * time.Millisecond},
+	)
+	t.Logf("%+v", results)
+	g.Expect(results[2].onTime).To(BeNumerically(">=", results[2].sent*95/100))
+	saved := results[0].onTime + results[0].late + results[1].onTime + results[1].late
+	g.Expect(saved).To(BeNumerically(">=", (results[0].sent+results[1].sent)*2/5))
+}
+
 func TestOverdueCallFreesItsSlot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/qhmember/endpoint_stats.go
+++ b/qhmember/endpoint_stats.go
@@ -3,7 +3,7 @@
 import "sync/atomic"
 
 // RoomLevels is the number of levels of urgency in EndpointStats.RoomAt.
-const RoomLevels = 12
+const RoomLevels = 48
 
 // EndpointStats has this node's own measurements of an endpoint. Calls read and
 // write all fields without locks.
--- a/qhproxy/attempts.go
+++ b/qhproxy/attempts.go
@@ -51,9 +51,9 @@
 func (c *call) need() qhbalance.Need {
 	objective := time.Duration(c.route.LatencyObjective)
 	if objective == 0 {
-		return qhbalance.Need{Priority: c.priority()}
+		return qhbalance.Need{Priority: c.rank()}
 	}
-	return qhbalance.Need{Objective: objective, Priority: c.priority(), Patience: c.patience()}
+	return qhbalance.Need{Objective: objective, Priority: c.rank(), Patience: c.patience()}
 }
 
 // countRemoteZoneAttempt counts an attempt in another availability zone and
@@ -87,7 +87,7 @@
 // to have room in time.
 func (c *call) sendToEarliestFree(ctx context.Context, failed *failure) (*targetResponse, *failure) {
 	if failed == nil {
-		c.earliestFree, c.earliestFreeIn = c.proxy.balancer.EarliestFree(c.view, c.service, c.priority(), c.versionFilter(), time.Now())
+		c.earliestFree, c.earliestFreeIn = c.proxy.balancer.EarliestFree(c.view, c.service, c.rank(), c.versionFilter(), time.Now())
 	}
 	if c.earliestFree == nil || failed != nil && failed.Outcome != qhheader.OutcomeNotExecuted || ctx.Err() != nil {
 		return nil, c.noTargetFailure(failed)
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -84,7 +84,7 @@
 	case qhdecision.Busy, qhdecision.Late, qhdecision.Overloaded:
 		endpoint.Stats.Refusals.Add(1)
 		if !f.ReachedTarget { // a target that sheds load may run the next call
-			qhbalance.RecordRefusal(endpoint, c.priority(), f.RetryAfter, time.Now())
+			qhbalance.RecordRefusal(endpoint, c.rank(), f.RetryAfter, time.Now())
 		}
 	case qhdecision.RateLimited:
 		endpoint.Stats.Refusals.Add(1)
@@ -153,7 +153,7 @@
 
 // admissionRequest returns the admission request for a target's guard.
 func (c *call) admissionRequest(queueWait time.Duration) qhguard.AdmissionRequest {
-	return qhguard.AdmissionRequest{Route: c.route.Name, Priority: c.priority(), ObjectiveDeadline: c.objectiveDeadline, MaxQueueWait: queueWait}
+	return qhguard.AdmissionRequest{Route: c.route.Name, Priority: c.rank(), ObjectiveDeadline: c.objectiveDeadline, MaxQueueWait: queueWait}
 }
 
 // sendToNode sends the call to the endpoint's node.
