qhguard: Expect the work of more urgent calls in the wait for a slot

Cause: the expected wait was the number of calls ahead times the mean time of all calls. Of a call of 120 ms behind others of 120 ms it expected a third where most calls take 22 ms, and it did not expect the short ones that come while it waits.

The wait is now the work ahead, by the routes' service times, divided by the slots that more urgent ranks have lately left (slot time by rank, half-life 3 s, a tenth at least).

--- a/qhguard/fairness.go
+++ b/qhguard/fairness.go
@@ -16,16 +16,23 @@
 	// starvationRatio is the ratio of a priority's admission rate to the
 	// overall admission rate below which the priority counts as starved.
 	starvationRatio = 0.4
+	// mostUrgent is the priority before all others.
+	mostUrgent = 0
+	// minSlotShare is the least share of the slots that is expected to be left by more
+	// urgent calls.
+	minSlotShare = 0.1
 	// starvationMinRequests is the decayed number of requests below which a
 	// priority never counts as starved.
 	starvationMinRequests = 3
 )
 
-// fairness counts the recent requests and admissions of each priority. More
+// fairness counts the recent requests, admissions and slot time of each priority. More
 // urgent calls get slots first, so under overload the less urgent ones would be
 // starved without these counts.
 type fairness struct {
 	requested, admitted [priorityLevels]float64
+	// worked has the slot time of the recent calls of each priority, in seconds.
+	worked [priorityLevels]float64
 	// decayedAt is when the counts were last decayed.
 	decayedAt time.Time
 }
@@ -43,6 +50,7 @@
 	for i := range f.requested {
 		f.requested[i] *= decay
 		f.admitted[i] *= decay
+		f.worked[i] *= decay
 	}
 	f.requested[priorityLevel(priority)]++
 }
@@ -50,6 +58,21 @@
 // recordAdmission counts a call that was given a slot.
 func (f *fairness) recordAdmission(priority int) { f.admitted[priorityLevel(priority)]++ }
 
+// recordWork counts the time for which a call occupied a slot.
+func (f *fairness) recordWork(priority int, elapsed time.Duration) {
+	f.worked[priorityLevel(priority)] += elapsed.Seconds()
+}
+
+// urgentShare returns the share of the slots that more urgent calls than those of the
+// priority have lately occupied.
+func (f *fairness) urgentShare(priority, slots int) float64 {
+	worked := 0.0
+	for _, seconds := range f.worked[:priorityLevel(priority)] {
+		worked += seconds
+	}
+	return worked * math.Ln2 / fairnessHalfLife.Seconds() / float64(slots)
+}
+
 // isStarved reports whether the admission rate of the priority is below
 // starvationRatio of the overall rate.
 func (f *fairness) isStarved(priority int) bool {
--- a/qhguard/guard.go
+++ b/qhguard/guard.go
@@ -167,6 +167,7 @@
 	g.mu.Lock()
 	g.limits = request.Limits
 	g.fairness.recordRequest(now, request.Priority)
+	w.serviceTime = g.serviceTimeOf(request.Route)
 	if refusal := g.checkAdmission(now, w); refusal != nil {
 		g.mu.Unlock()
 		return nil, refusal
@@ -226,7 +227,7 @@
 		full = qhdecision.RateLimited
 	}
 	if len(g.queue) >= g.queueLimit(g.slots()) {
-		return &Refusal{Reason: full, RetryAfter: g.expectedWaitBehind(now, len(g.queue)) + minRetryAfter}
+		return &Refusal{Reason: full, RetryAfter: g.expectedWaitBehind(now, g.queue, w.request.Priority) + minRetryAfter}
 	}
 	wait := g.expectedWait(now, w)
 	if w.request.MaxQueueWait > 0 && wait > w.request.MaxQueueWait {
@@ -273,15 +274,17 @@
 // lock is held.
 func (g *Guard) refuseUnservable(now time.Time) {
 	kept := g.queue[:0]
+	work := g.meanServiceTime // until a slot is free
 	for _, w := range g.queue {
-		start := now.Add(g.expectedWaitBehind(now, len(kept)))
+		start := now.Add(g.expectedWaitFor(now, work, len(kept), w.request.Priority))
 		// A call may be faster than average: it is refused only if less than
 		// half of the average service time would be left.
 		if !w.deadline.IsZero() && start.Add(g.serviceTimeOf(w.request.Route)/2).After(w.deadline) {
-			w.refuse(&Refusal{Reason: qhdecision.Late, RetryAfter: g.expectedWaitBehind(now, len(g.queue)) + minRetryAfter})
+			w.refuse(&Refusal{Reason: qhdecision.Late, RetryAfter: g.expectedWaitBehind(now, g.queue, w.request.Priority) + minRetryAfter})
 			continue
 		}
 		kept = append(kept, w)
+		work += w.serviceTime
 	}
 	clear(g.queue[len(kept):])
 	g.queue = kept
@@ -339,20 +342,6 @@
 	return slots * queuedCallsPerSlot
 }
 
-// expectedWaitBehind estimates the queue wait of a call with the given number of
-// calls ahead of it. The lock is held.
-func (g *Guard) expectedWaitBehind(now time.Time, ahead int) time.Duration {
-	slots := g.slots()
-	forSlot := g.meanServiceTime * time.Duration(ahead+1) / time.Duration(slots)
-	if !g.pacer.isLimited() {
-		return forSlot
-	}
-	if g.running+ahead < slots {
-		forSlot = 0
-	}
-	return max(forSlot, g.pacer.wait(now, ahead))
-}
-
 // occupySlot gives a slot to a call. The response to an overdue call was
 // probably lost, so its slot is reclaimed before the call ends. The lock is
 // held.
@@ -360,7 +349,7 @@
 	g.running++
 	g.pacer.take(now)
 	g.fairness.recordAdmission(request.Priority)
-	permit := &Permit{guard: g, route: request.Route, start: now}
+	permit := &Permit{guard: g, route: request.Route, priority: request.Priority, start: now}
 	if mean := g.serviceTimeOf(request.Route); mean > 0 {
 		permit.overdueTimer = time.AfterFunc(max(minReclaimDelay, reclaimFactor*mean), permit.reclaimSlot)
 	}
@@ -373,6 +362,7 @@
 	defer g.mu.Unlock()
 	elapsed := time.Since(p.start)
 	g.meanServiceTime = movingAverage(g.meanServiceTime, elapsed)
+	g.fairness.recordWork(p.priority, elapsed)
 	if p.route != "" {
 		g.routeServiceTimes[p.route] = movingAverage(g.routeServiceTimes[p.route], elapsed)
 	}
@@ -454,7 +444,9 @@
 type Permit struct {
 	guard *Guard
 	route qhid.Route
-	start time.Time
+	// priority is that of the call.
+	priority int
+	start    time.Time
 	// freed is set once the slot was freed. It is protected by the guard's lock.
 	freed bool
 	// overdueTimer frees the slot once the call is overdue; nil if the service
--- a/qhguard/priority_test.go
+++ b/qhguard/priority_test.go
@@ -124,6 +124,7 @@
 	)
 	t.Logf("%+v", results)
 	g.Expect(results[2].onTime).To(BeNumerically(">=", results[2].sent*95/100))
+	g.Expect(results[0].onTime).To(BeNumerically(">", results[0].late)) // the wait for all short calls to come was expected
 	saved := results[0].onTime + results[0].late + results[1].onTime + results[1].late
 	g.Expect(saved).To(BeNumerically(">=", (results[0].sent+results[1].sent)*2/5))
 }
--- a/qhguard/queue.go
+++ b/qhguard/queue.go
@@ -12,6 +12,8 @@
 	request AdmissionRequest
 	// deadline is zero if the call has none.
 	deadline time.Time
+	// serviceTime is how long the call is expected to occupy a slot.
+	serviceTime time.Duration
 	// decided is closed once the call was admitted or refused.
 	decided chan struct{}
 	// Either refusal or permit is set before decided is closed.
@@ -86,7 +88,7 @@
 		// A call may be faster than average: it is refused only if less than
 		// half of the average service time is left.
 		if !w.deadline.IsZero() && now.Add(g.serviceTimeOf(w.request.Route)/2).After(w.deadline) {
-			w.refuse(&Refusal{Reason: qhdecision.Late, RetryAfter: g.expectedWaitBehind(now, len(g.queue)) + minRetryAfter})
+			w.refuse(&Refusal{Reason: qhdecision.Late, RetryAfter: g.expectedWaitBehind(now, g.queue, w.request.Priority) + minRetryAfter})
 			continue
 		}
 		w.permit = g.occupySlot(w.request, now)
@@ -122,17 +124,43 @@
 // deadline waits behind all others. The lock is held.
 func (g *Guard) expectedWait(now time.Time, w *waiter) time.Duration {
 	if deadline := w.responseDeadline(); !deadline.IsZero() && now.After(deadline) {
-		return g.expectedWaitBehind(now, len(g.queue))
+		return g.expectedWaitBehind(now, g.queue, w.request.Priority)
 	}
-	ahead := g.countAhead(w)
+	ahead := g.queue[:g.countAhead(w)]
 	if !g.fairness.isStarved(w.request.Priority) {
-		return g.expectedWaitBehind(now, ahead)
+		return g.expectedWaitBehind(now, ahead, w.request.Priority)
 	}
-	samePriority := 0
-	for _, other := range g.queue[:ahead] {
+	var samePriority []*waiter
+	for _, other := range ahead {
 		if other.request.Priority == w.request.Priority {
-			samePriority++
+			samePriority = append(samePriority, other)
 		}
 	}
-	return g.expectedWaitBehind(now, samePriority)
+	return g.expectedWaitBehind(now, samePriority, mostUrgent)
+}
+
+// expectedWaitBehind estimates the queue wait of a call of the priority behind others:
+// their work, done by the slots that more urgent calls leave, which also come while the
+// call waits. The lock is held.
+func (g *Guard) expectedWaitBehind(now time.Time, ahead []*waiter, priority int) time.Duration {
+	work := g.meanServiceTime // until a slot is free
+	for _, w := range ahead {
+		work += w.serviceTime
+	}
+	return g.expectedWaitFor(now, work, len(ahead), priority)
+}
+
+// expectedWaitFor is expectedWaitBehind for a number of calls ahead whose work is known.
+// The lock is held.
+func (g *Guard) expectedWaitFor(now time.Time, work time.Duration, ahead, priority int) time.Duration {
+	slots := g.slots()
+	left := max(minSlotShare, 1-g.fairness.urgentShare(priority, slots))
+	forSlot := time.Duration(float64(work) / (left * float64(slots)))
+	if !g.pacer.isLimited() {
+		return forSlot
+	}
+	if g.running+ahead < slots {
+		forSlot = 0
+	}
+	return max(forSlot, g.pacer.wait(now, ahead))
 }
