qhbalance: Send no call to other zones where all of them are full

Cause: where all zones are full, a call with no room at home was tried at two targets elsewhere, each zone's calls in the others.

A target with 1.2 times as many calls as slots now gets none from other zones, and a call that was tried at home is tried once elsewhere.

--- a/qhbalance/choose.go
+++ b/qhbalance/choose.go
@@ -25,6 +25,10 @@
 	// availability zone, as a percentage of its slots, from which on other zones
 	// are considered.
 	defaultSpillPercent = 80
+	// maxRemoteLoadPercent is the load, as a percentage of its slots, from which
+	// on an endpoint of another availability zone gets no spill-over. Between zones
+	// that are all full it would only add traffic.
+	maxRemoteLoadPercent = 120
 	// spillMarginShare is the fraction of the latency objective by which an endpoint of
 	// another availability zone has to be expected to respond earlier.
 	spillMarginShare = 0.05
@@ -157,7 +161,7 @@
 	remote.group, remote.skippedFull = &pool.remote, false
 	remoteChoice := remote.chooseBetter(qhdecision.OtherZone)
 	remoteChoice.LocalFull = localChoice.Endpoint == nil && local.skippedFull
-	if remoteChoice.Endpoint != nil && !isFull(remoteChoice.Endpoint, now) && (localChoice.Endpoint == nil || isWorthSpill(remoteChoice.Endpoint, localChoice.Endpoint, need.Objective, now)) {
+	if remoteChoice.hasLoadBelow(maxRemoteLoadPercent, now) && (localChoice.Endpoint == nil || isWorthSpill(remoteChoice.Endpoint, localChoice.Endpoint, need.Objective, now)) {
 		remoteChoice.HasCapacity = true
 		if localChoice.Endpoint != nil {
 			remoteChoice.Reason, remoteChoice.RunnerUp = qhdecision.SpillOver, localChoice.Endpoint
--- a/qhproxy/attempts.go
+++ b/qhproxy/attempts.go
@@ -115,7 +115,7 @@
 	lateQueueShare = 0.1
 	// maxRemoteZoneAttempts bounds the attempts in other zones after a target
 	// of the own zone was tried.
-	maxRemoteZoneAttempts = 2
+	maxRemoteZoneAttempts = 1
 )
 
 // patience returns how long the call may wait for a slot of one target before others are
