qhguard: Expect only the work of the same priority in the wait for a slot

Cause: the wait that a refusal named counted the work of all more urgent ranks, up to ten times the queue. Nodes that are told of a long wait do not ask meanwhile, so that the guard did not see how many calls of that priority there were, and did not find it starved.

Only ranks of the same priority count now; between priorities fairness decides. The refusal of a caller's node says the rank and when there is room.

TestCallsOfALessUrgentPriorityAreNotToldToStayAway fails without.

--- a/qhguard/fairness.go
+++ b/qhguard/fairness.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// priorityLevels is the number of distinct priorities; higher values count as
-	// the last one.
+	// priorityLevels is the number of distinct priorities, each a rank of calls; higher
+	// values count as the last one.
 	priorityLevels = qhmember.RoomLevels
 	// fairnessHalfLife is the half-life of the request and admission counts.
 	fairnessHalfLife = 3 * time.Second
@@ -63,11 +63,14 @@
 	f.worked[priorityLevel(priority)] += elapsed.Seconds()
 }
 
-// urgentShare returns the share of the slots that more urgent calls than those of the
-// priority have lately occupied.
-func (f *fairness) urgentShare(priority, slots int) float64 {
+// urgentShare returns the share of the slots that calls of the same priority and a more
+// urgent rank have lately occupied. Between priorities no one is to be starved, so that
+// the work of a more urgent priority says little about the wait.
+func (f *fairness) urgentShare(rank, slots int) float64 {
+	level := priorityLevel(rank)
+	first := level - level%qhmember.RanksPerPriority
 	worked := 0.0
-	for _, seconds := range f.worked[:priorityLevel(priority)] {
+	for _, seconds := range f.worked[first:level] {
 		worked += seconds
 	}
 	return worked * math.Ln2 / fairnessHalfLife.Seconds() / float64(slots)
--- a/qhguard/priority_test.go
+++ b/qhguard/priority_test.go
@@ -129,6 +129,23 @@
 	g.Expect(saved).To(BeNumerically(">=", (results[0].sent+results[1].sent)*2/5))
 }
 
+// TestCallsOfALessUrgentPriorityAreNotToldToStayAway has a target that is busy with urgent
+// calls. Nodes that are told of a long wait do not ask for that time, so that the guard
+// would not know that the less urgent calls are starved.
+func TestCallsOfALessUrgentPriorityAreNotToldToStayAway(t *testing.T) {
+	g := NewWithT(t)
+	now := time.Now()
+	guard := testGuard(4)
+	guard.meanServiceTime = 40 * time.Millisecond
+	guard.fairness.recordRequest(now, mostUrgent)
+	idle := guard.expectedWaitBehind(now, nil, qhmember.RanksPerPriority)
+	for range 1000 {
+		guard.fairness.recordWork(mostUrgent, guard.meanServiceTime)
+	}
+	g.Expect(guard.expectedWaitBehind(now, nil, qhmember.RanksPerPriority)).To(Equal(idle))
+	g.Expect(guard.expectedWaitBehind(now, nil, mostUrgent+1)).To(BeNumerically(">", idle))
+}
+
 func TestOverdueCallFreesItsSlot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/qhmember/endpoint_stats.go
+++ b/qhmember/endpoint_stats.go
@@ -2,8 +2,12 @@
 
 import "sync/atomic"
 
-// RoomLevels is the number of levels of urgency in EndpointStats.RoomAt.
-const RoomLevels = 48
+const (
+	// RanksPerPriority is the number of ranks of calls of the same priority.
+	RanksPerPriority = 4
+	// RoomLevels is the number of ranks in EndpointStats.RoomAt.
+	RoomLevels = 12 * RanksPerPriority
+)
 
 // EndpointStats has this node's own measurements of an endpoint. Calls read and
 // write all fields without locks.
@@ -35,8 +39,8 @@
 	// FullUntil is the time until which the endpoint counts as full, in nanoseconds
 	// of the Unix epoch; 0 if it does not.
 	FullUntil atomic.Int64
-	// RoomAt has, for each level of urgency, the time at which the queue of the
-	// endpoint is expected to be empty for a call of that level, in nanoseconds of
+	// RoomAt has, for each rank, the time at which the queue of the
+	// endpoint is expected to be empty for a call of that rank, in nanoseconds of
 	// the Unix epoch; 0 if it refused none.
 	RoomAt [RoomLevels]atomic.Int64
 	// UnreachableUntil is the time until which the endpoint gets no calls because no
--- a/qhproxy/attempts.go
+++ b/qhproxy/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -140,7 +141,8 @@
 // earlier is the failure of the attempts so far, or nil. There is room in roomIn.
 func (c *call) fullFailure(ctx context.Context, earlier *failure, roomIn time.Duration) *failure {
 	retryAfter := c.proxy.returns.Book(c.returnKey(), time.Now(), max(roomIn, minRoomIn), time.Duration(patienceShare*float64(timeUntilDeadline(ctx))))
-	f := notExecuted(qhdecision.Busy, http.StatusServiceUnavailable, retryAfter, "no target of the service is known to have room in time")
+	f := notExecuted(qhdecision.Busy, http.StatusServiceUnavailable, retryAfter,
+		fmt.Sprintf("no target of the service is known to have room in time for rank %d; there is room in %s", c.rank(), roomIn))
 	if earlier != nil {
 		f.ReachedTarget = earlier.ReachedTarget
 	}
