qhcrash: Start no inquiry for a service that only a message names

A message about any service made a node ask others about it, and kept that in memory: messages of a peer could grow it without bound. A node also said that it is informed although the findings in the same answer were read before it was; they are read in the other order now.

--- a/qhbalance/choose.go
+++ b/qhbalance/choose.go
@@ -133,9 +133,8 @@
 // endpoint that accepts calls was tried before. It prefers usable endpoints
 // whose load is below the limits, first in the own availability zone, then in
 // others if those are expected to respond earlier. If there are none, it may choose a
-// full endpoint, and a group of
-// which most endpoints are unusable is in panic mode: its endpoints that are
-// ejected or on a down node are considered too.
+// full endpoint, and a group of which most endpoints are unusable is in panic mode: its
+// endpoints that are ejected or on a down node are considered too.
 func (b *Balancer) Choose(view *qhmember.View, service *qhconfig.Service, tried *TriedEndpoints, now time.Time) (Choice, bool) {
 	return b.ChooseFor(view, service, tried, now, Need{})
 }
--- a/qhcrash/inquiry.go
+++ b/qhcrash/inquiry.go
@@ -70,6 +70,15 @@
 	return i
 }
 
+// isInformed reports whether this node knows what the other nodes of the service know. It
+// starts no inquiry, since other nodes may ask about any service.
+func (l *Local) isInformed(service qhid.Service) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	i := l.inquiries[service]
+	return i != nil && i.isInformed()
+}
+
 // inquire asks the other nodes until one of them is informed, all are known to know
 // nothing, or the time is up.
 func (l *Local) inquire(ctx context.Context, service qhid.Service, i *inquiry) {
--- a/qhcrash/inquiry_test.go
+++ b/qhcrash/inquiry_test.go
@@ -91,6 +91,16 @@
 	})
 }
 
+func TestMessagesAboutUnknownServicesStartNoInquiry(t *testing.T) {
+	RegisterTestingT(t)
+	local, stop := newTestLocal([]answerOf{silent}, 0)
+	defer stop()
+	for service := range 100 {
+		Expect(local.Answer(Message{Service: qhid.Service(fmt.Sprint(service))}).Informed).To(BeFalse())
+	}
+	Expect(local.inquiries).To(BeEmpty())
+}
+
 // newTestLocal returns a Local whose peers are known after a time.
 func newTestLocal(answers []answerOf, knownIn time.Duration) (*Local, func()) {
 	group, stop := qhgroup.New(context.Background())
--- a/qhcrash/local.go
+++ b/qhcrash/local.go
@@ -240,7 +240,8 @@
 // Answer merges the message of another node and returns the response.
 func (l *Local) Answer(message Message) Message {
 	l.merge(message)
-	return Message{Service: message.Service, Findings: l.ledger.Findings(message.Service), Informed: l.inquiryOf(message.Service).isInformed()}
+	informed := l.isInformed(message.Service) // before the findings, which may just arrive
+	return Message{Service: message.Service, Findings: l.ledger.Findings(message.Service), Informed: informed}
 }
 
 // Run asks the other nodes of the own services what they know, and then compares the
