--- a/qhbalance/room.go
+++ b/qhbalance/room.go
@@ -22,7 +22,7 @@
 type Need struct {
 	// Objective is the latency objective of the call's route; 0 means none.
 	Objective time.Duration
-	// Priority 0 is the most urgent.
+	// Priority is the rank of the call at a full service, 0 for the most urgent ones.
 	Priority int
 	// Patience is how long the call may wait for a slot of an endpoint; 0 means no bound.
 	Patience time.Duration
--- a/qhguard/fairness.go
+++ b/qhguard/fairness.go
@@ -8,8 +8,7 @@
 )
 
 const (
-	// priorityLevels is the number of distinct priorities, each a rank of calls; higher
-	// values count as the last one.
+	// priorityLevels is the number of ranks of calls; higher values count as the last one.
 	priorityLevels = qhmember.RoomLevels
 	// fairnessHalfLife is the half-life of the request and admission counts.
 	fairnessHalfLife = 3 * time.Second
--- a/qhguard/guard.go
+++ b/qhguard/guard.go
@@ -140,7 +140,8 @@
 type AdmissionRequest struct {
 	Limits
 	Route qhid.Route
-	// Priority 0 is the most urgent.
+	// Priority is the rank of the call, 0 for the most urgent ones. Calls of the same
+	// priority in the configuration have qhmember.RanksPerPriority ranks.
 	Priority int
 	// ObjectiveDeadline is when the response has to begin to meet the route's
 	// latency objective; zero means no objective.
--- a/qhmember/endpoint_stats.go
+++ b/qhmember/endpoint_stats.go
@@ -3,7 +3,8 @@
 import "sync/atomic"
 
 const (
-	// RanksPerPriority is the number of ranks of calls of the same priority.
+	// RanksPerPriority is the number of ranks of the calls of one priority, which are
+	// ordered by their latency objectives.
 	RanksPerPriority = 4
 	// RoomLevels is the number of ranks in EndpointStats.RoomAt.
 	RoomLevels = 12 * RanksPerPriority
