qhfeed: Give repeated watches copies of the source and the position

Cause, since: a repeated call runs in a goroutine of its own and may begin only after an earlier one has responded. It then read the source while repeatCall set when that was asked, and the watcher's position, which the next step changes, era and revision apart.

It uses copies from the time at which the calls began. Listings are not affected, since they read the source once, before.

--- a/qhfeed/watcher.go
+++ b/qhfeed/watcher.go
@@ -375,8 +375,10 @@
 // the store does not respond in time. It sets when the source was asked.
 func (w *watcher) watch(ctx context.Context, source *watchSource) (qhplatform.Changes, error) {
 	if source.isStore() && (w.failing.Load() || w.reconnecting) {
+		// A call that is still running after repeatCall has returned uses these copies.
+		store, from := *source, w.position
 		return repeatCall(ctx, w, source, func(ctx context.Context) (qhplatform.Changes, error) {
-			return w.watchOnce(ctx, *source, resumeWait)
+			return w.watchOnce(ctx, store, from, resumeWait)
 		})
 	}
 	source.askedAt, w.lastCall = w.feed.Proof.Now(), time.Now()
@@ -384,9 +386,9 @@
 }
 
 // watchOnce waits for changes once, and records by how much the store's response is late.
-func (w *watcher) watchOnce(ctx context.Context, source watchSource, wait time.Duration) (qhplatform.Changes, error) {
+func (w *watcher) watchOnce(ctx context.Context, source watchSource, from position, wait time.Duration) (qhplatform.Changes, error) {
 	start := time.Now()
-	changes, err := source.watch(ctx, w.position, wait)
+	changes, err := source.watch(ctx, from, wait)
 	if elapsed := time.Since(start); err == nil && source.isStore() && elapsed >= wait {
 		w.grace.recordLateness(elapsed - wait)
 	}
@@ -421,7 +423,7 @@
 			cancel(cause)
 		}
 	})
-	changes, err := w.watchOnce(ctx, source, wait)
+	changes, err := w.watchOnce(ctx, source, w.position, wait)
 	for _, cause := range []error{errWatchRestarted, errSilent} {
 		if err != nil && errors.Is(context.Cause(ctx), cause) {
 			return qhplatform.Changes{}, cause
