--- a/review/stand/case_drain.go
+++ b/review/stand/case_drain.go
@@ -85,6 +85,32 @@
 	return w.judgeDrain(leaving.endpoint, acknowledged)
 }
 
+// laterBootCase lets an endpoint crash and start again under its id. The new boot leaves
+// before its first check-in, which is late, has arrived.
+func laterBootCase(w *world) verdict {
+	leaving := leavingDeployment(w)
+	var orders collector
+	w.sendOrders(&orders, time.Now().Add(14*time.Second))
+	time.Sleep(time.Second)
+	leaving.endpoint.kill()
+	time.Sleep(500 * time.Millisecond)
+	leaving.endpoint = newEndpoint(leaving, leaving.endpoint.id)
+	leaving.endpoint.work = func(*http.Request) time.Duration { return 200 * time.Millisecond }
+	leaving.endpoint.silent = true // its check-ins are sent below
+	leaving.endpoint.start()
+	late := leaving.endpoint.nextBody("ready")
+	time.Sleep(500 * time.Millisecond)
+	acknowledged := w.leave(leaving)
+	if w.trouble {
+		time.Sleep(time.Until(acknowledged.Add(4 * time.Second)))
+		w.record("%s: the check-in %v that %s sent before it left arrives, acknowledged: %v", leaving.id, late, leaving.endpoint.id, leaving.endpoint.checkIn(late))
+	}
+	time.Sleep(time.Until(acknowledged.Add(9 * time.Second)))
+	leaving.endpoint.kill()
+	orders.group.Wait()
+	return w.judgeDrain(leaving.endpoint, acknowledged)
+}
+
 // judgeDrain counts the requests that reached the endpoint later than drainS after the
 // acknowledgement, and those of them that were lost when it ended.
 func (w *world) judgeDrain(e *endpoint, acknowledged time.Time) verdict {
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -12,14 +12,15 @@
 
 // cases are the cases by name.
 var cases = map[string]func(*world) verdict{
-	"shutdown":  shutdownCase,
-	"revoke":    revokeCase,
-	"check-in":  checkInCase,
-	"late-beat": lateBeatCase,
-	"path":      pathCase,
-	"quota":     quotaCase,
-	"keys":      keysCase,
-	"pipeline":  pipelineCase,
+	"shutdown":   shutdownCase,
+	"revoke":     revokeCase,
+	"check-in":   checkInCase,
+	"late-beat":  lateBeatCase,
+	"later-boot": laterBootCase,
+	"path":       pathCase,
+	"quota":      quotaCase,
+	"keys":       keysCase,
+	"pipeline":   pipelineCase,
 }
 
 // verdict is the result of a case.
