--- a/review/stand/case_pipeline.go
+++ b/review/stand/case_pipeline.go
@@ -123,9 +123,11 @@
 		return err.Error()
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if _, err := io.ReadAll(resp.Body); err != nil {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
 		return err.Error()
 	}
 	r.status, r.stamp = resp.StatusCode, resp.Header.Get("X-Server-Stamp")
+	r.answered, r.answeredID = string(body), resp.Header.Get("X-Request-Id")
 	return ""
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,6 +21,7 @@
 	"quota":      quotaCase,
 	"keys":       keysCase,
 	"pipeline":   pipelineCase,
+	"expect":     expectCase,
 }
 
 // verdict is the result of a case.
--- a/review/stand/requester.go
+++ b/review/stand/requester.go
@@ -26,7 +26,9 @@
 	status   int // 0 without a complete answer
 	stamp    string
 	answered string
-	problem  string
+	// answeredID is the X-Request-Id of the answer.
+	answeredID string
+	problem    string
 }
 
 var requestNumber atomic.Int64
