--- a/review/stand/case_expect.go
+++ b/review/stand/case_expect.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 )
@@ -23,15 +24,15 @@
 type upload struct {
 	from     *machine
 	id       string
-	recorded []string // the ids of the requests in its body
+	recorded []string // the ids of the earlier orders that its body is a recording of
 	status   int
 	order    *request
 	problem  string
 }
 
-// expectCase shortens the time-out of a route of uploads. A requester sends recorded
-// requests as an upload, in chunks and with Expect: 100-continue, and goes on sending when
-// the time-out of its upload has passed.
+// expectCase shortens the time-out of a route of uploads. Requesters send a recording of
+// earlier orders as an upload, in chunks and with Expect: 100-continue, and go on sending
+// when the time-out of the upload has passed.
 func expectCase(w *world) verdict {
 	w.setGrown(214)
 	w.addMachine("hu-east-a", "fuvar")
@@ -46,32 +47,37 @@
 		w.store.put("config", "main", config("0000000f", []route{uploads, orders}, nil, "fuvar", "rendeles"))
 	}
 	time.Sleep(4 * time.Second) // configS 2.5, and 1.5 s
-	var others collector
-	for _, m := range w.machines {
-		others.sendEach(w, 50*time.Millisecond, time.Now().Add(6*time.Second), func() *request {
-			return &request{method: "POST", host: "orders.example", path: "/orders/other", from: m, body: 300, budget: 6 * time.Second}
-		})
-	}
-	time.Sleep(time.Second)
 	const uploadsPerMachine = 4
 	done := make(chan *upload)
 	var sent []*upload
 	for _, m := range w.machines {
 		for range uploadsPerMachine {
-			go func() { done <- w.sendUpload(m) }()
+			go func() { done <- w.sendUpload(m, w.sendEarlierOrders(m)) }()
 		}
 	}
 	for range uploadsPerMachine * len(w.machines) {
 		sent = append(sent, <-done)
 	}
-	others.group.Wait()
 	return w.judgeExpect(sent)
 }
 
-// sendUpload sends an upload and, once it is sent and answered, an order on the same
-// connection.
-func (w *world) sendUpload(m *machine) *upload {
-	u := &upload{from: m, id: newRequestID(), order: &request{id: newRequestID(), method: http.MethodPost, host: "orders.example", path: "/orders/own", from: m, begin: time.Now()}}
+// sendEarlierOrders sends as many orders as an upload has pieces, and returns their ids.
+func (w *world) sendEarlierOrders(m *machine) []string {
+	var ids []string
+	for range pieces {
+		r := w.send(&request{method: http.MethodPost, host: "orders.example", path: "/orders/earlier", from: m, body: 300, budget: 6 * time.Second})
+		if r.status != http.StatusOK {
+			panic("an order before the uploads was not answered")
+		}
+		ids = append(ids, r.id)
+	}
+	return ids
+}
+
+// sendUpload sends an upload of a recording of earlier orders and, once it is sent and
+// answered, an order on the same connection.
+func (w *world) sendUpload(m *machine, recorded []string) *upload {
+	u := &upload{from: m, id: newRequestID(), recorded: recorded, order: &request{id: newRequestID(), method: http.MethodPost, host: "orders.example", path: "/orders/own", from: m, begin: time.Now()}}
 	conn, err := net.DialTimeout("tcp", m.address(portOutbound), time.Second)
 	if err != nil {
 		u.problem = "no connection: " + err.Error()
@@ -118,7 +124,7 @@
 		if i > 0 {
 			time.Sleep(pieceInterval)
 		}
-		if _, err := io.WriteString(conn, u.nextPiece()); err != nil {
+		if _, err := io.WriteString(conn, u.piece(i)); err != nil {
 			return err.Error()
 		}
 	}
@@ -140,14 +146,14 @@
 // is a control.
 func expects() bool { return os.Getenv("EXPECT") != "0" }
 
-// nextPiece returns the next recorded request, as long as a piece.
-func (u *upload) nextPiece() string {
-	id := newRequestID()
-	u.recorded = append(u.recorded, id)
-	head := fmt.Sprintf("POST /orders/recorded HTTP/1.1\r\nHost: orders.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 6000\r\nContent-Length: 07000\r\n\r\n", id)
+// recordedPath is the path of the recorded orders.
+const recordedPath = "/orders/recorded"
+
+// piece returns a recorded order, as long as a piece.
+func (u *upload) piece(i int) string {
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: orders.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 6000\r\nContent-Length: 00000\r\n\r\n", recordedPath, u.recorded[i])
 	body := pieceSize - len(head)
-	head = strings.Replace(head, "07000", fmt.Sprintf("%05d", body), 1)
-	return head + strings.Repeat("-", body)
+	return strings.Replace(head, "00000", fmt.Sprintf("%05d", body), 1) + strings.Repeat("-", body)
 }
 
 // judgeExpect counts the recorded requests that an endpoint ran, and the orders that got
@@ -158,6 +164,9 @@
 	for _, u := range sent {
 		for _, id := range u.recorded {
 			for _, x := range runs[id] {
+				if x.path != recordedPath {
+					continue
+				}
 				smuggled++
 				w.record("UNASKED: %s, which was a part of the body of %s, ran at %s as %s %s", id, u.id, x.endpoint, x.method, x.path)
 			}
@@ -168,9 +177,11 @@
 			w.record("%s: upload %s: %s; order %s: %s", u.from.id, u.id, u.problem, u.order.id, u.order.problem)
 		case u.order.answeredID == u.order.id:
 			own++
+		case !slices.Contains(u.recorded, u.order.answeredID):
+			panic("an order got an answer that belongs to no request")
 		default:
 			foreign++
-			w.record("MIXED: order %s got the answer %d %q", u.order.id, u.order.status, u.order.answered)
+			w.record("MIXED: order %s got an answer that belongs to the earlier order %s: %d %q", u.order.id, u.order.answeredID, u.order.status, u.order.answered)
 		}
 	}
 	return verdict{broken: smuggled > 0 || foreign > 0, text: fmt.Sprintf("UNASKED: %d requests ran that were parts of the bodies of %d uploads; MIXED: of %d orders sent behind an upload, %d got an answer that is not theirs and %d their own; %d connections were closed before",
