qhfeed: Log what arrived of the store's responses, and the objects of a batch

Change: qhplatform.WithProgress reports the bytes of responses as they arrive. The lines 'connection to the store is silent' and 'store unreachable' have the bytes received since the last complete response, 'configuration received' the number of objects of its batch.

A spec of the client has a response that does not end.

--- a/qhfeed/exchange.go
+++ b/qhfeed/exchange.go
@@ -172,7 +172,7 @@
 	start, before := time.Now(), f.Holder.Version()
 	f.applyExchange(response)
 	if version := f.Holder.Version(); version > before {
-		f.recordArrival(string(address), version, f.config.sinceResponse(), 0, time.Since(start))
+		f.recordArrival(string(address), version, 1, f.config.sinceResponse(), 0, time.Since(start))
 	}
 	if response.ProofAge != nil && *response.ProofAge >= 0 && f.Holder.Version() >= response.Version {
 		f.Proof.Confirm(askedAt.Add(-*response.ProofAge))
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -235,14 +235,14 @@
 }
 
 // recordArrival records how a version reached this node: from which reader or peer, which
-// is empty for the store; after how long without a response to this node's watch; how old
+// is empty for the store; as the last of how many objects; after how long without a response to this node's watch; how old
 // the sender's own knowledge was, 0 if it is not known; and how long applying took.
-func (f *Feed) recordArrival(from string, version qhid.Version, gap, age, applying time.Duration) {
+func (f *Feed) recordArrival(from string, version qhid.Version, objects int, gap, age, applying time.Duration) {
 	f.arrivals.gap.Update(gap.Seconds())
 	f.arrivals.age.Update(age.Seconds())
 	f.arrivals.applying.Update(applying.Seconds())
 	f.Log.Info("configuration received", zap.Uint64("version", uint64(version)), zap.String("from", from),
-		zap.Duration("gap", gap), zap.Duration("age", age), zap.Duration("applying", applying))
+		zap.Int("objects", objects), zap.Duration("gap", gap), zap.Duration("age", age), zap.Duration("applying", applying))
 }
 
 // arrivalMetrics has what recordArrival records, in seconds.
--- a/qhfeed/watcher.go
+++ b/qhfeed/watcher.go
@@ -93,6 +93,9 @@
 	// lastResponse is the qhclock.Instant of the last successful call to the store or a
 	// reader. The time for which the VM was suspended counts towards its age.
 	lastResponse atomic.Int64
+	// received is the number of bytes of the store's responses that have arrived since the
+	// last one that was complete.
+	received atomic.Int64
 	// gap is the time between the last two responses. Only run uses it.
 	gap time.Duration
 	// maxWait returns how long the store holds a watch at most, given the number of
@@ -197,12 +200,17 @@
 // list lists the objects at the source, and sets when it was asked.
 func (w *watcher) list(ctx context.Context, source *watchSource) (qhplatform.Listing, error) {
 	if source.isStore() {
-		return repeatCall(ctx, w, source, source.list)
+		return repeatCall(ctx, w, source, func(ctx context.Context) (qhplatform.Listing, error) { return source.list(w.withProgress(ctx)) })
 	}
 	source.askedAt = w.feed.Proof.Now()
 	return source.list(ctx)
 }
 
+// withProgress returns a context whose calls to the store count what they receive.
+func (w *watcher) withProgress(ctx context.Context) context.Context {
+	return qhplatform.WithProgress(ctx, func(bytes int) { w.received.Add(int64(bytes)) })
+}
+
 // checkListing logs a listing and returns an error if it is older than the known
 // objects.
 func (w *watcher) checkListing(source watchSource, listing qhplatform.Listing) error {
@@ -316,7 +324,7 @@
 // the other watches may be silent too.
 func (w *watcher) reconnect() {
 	w.reconnecting = true
-	w.feed.Log.Warn("connection to the store is silent, continuing on a new one", zap.String("what", w.name), zap.Duration("since_response", w.sinceResponse()))
+	w.feed.Log.Warn("connection to the store is silent, continuing on a new one", zap.String("what", w.name), zap.Duration("since_response", w.sinceResponse()), zap.Int64("received", w.received.Load()))
 	w.feed.silentConnections.Inc()
 	w.feed.restartWatches(w)
 }
@@ -348,7 +356,7 @@
 	w.apply(batch)
 	elapsed := time.Since(start)
 	if version := w.feed.Holder.Version(); w == w.feed.config && version > before {
-		w.feed.recordArrival(string(source.reader.Node), version, w.gap, source.age(), elapsed)
+		w.feed.recordArrival(string(source.reader.Node), version, len(batch.objects), w.gap, source.age(), elapsed)
 	}
 	if w.watchesStore.Load() {
 		elapsed += time.Duration(w.listingTime.Load())
@@ -388,7 +396,7 @@
 // watchOnce waits for changes once, and records by how much the store's response is late.
 func (w *watcher) watchOnce(ctx context.Context, source watchSource, from position, wait time.Duration) (qhplatform.Changes, error) {
 	start := time.Now()
-	changes, err := source.watch(ctx, from, wait)
+	changes, err := source.watch(w.withProgress(ctx), from, wait)
 	if elapsed := time.Since(start); err == nil && source.isStore() && elapsed >= wait {
 		w.grace.recordLateness(elapsed - wait)
 	}
@@ -456,6 +464,7 @@
 func (w *watcher) recordResponse(source watchSource) {
 	w.gap = w.sinceResponse()
 	w.lastResponse.Store(int64(w.feed.Proof.Now()))
+	w.received.Store(0)
 	w.watchesStore.Store(source.isStore())
 	if w.failing.Swap(false) {
 		w.feed.Log.Info("watch works again", zap.String("what", w.name), zap.String("reader", string(source.reader.Node)))
@@ -477,5 +486,5 @@
 }
 
 func (w *watcher) logUnreachable(cause error) {
-	w.feed.Log.Warn("store unreachable", zap.String("what", w.name), zap.Duration("since_response", w.sinceResponse()), zap.Error(cause))
+	w.feed.Log.Warn("store unreachable", zap.String("what", w.name), zap.Duration("since_response", w.sinceResponse()), zap.Int64("received", w.received.Load()), zap.Error(cause))
 }
--- a/qhplatform/http_call.go
+++ b/qhplatform/http_call.go
@@ -101,7 +101,7 @@
 		return rawResponse{}, c.noResponseError(call, sent.Load(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(maxResponseSize)+1))
+	body, err := io.ReadAll(io.LimitReader(withProgress(ctx, resp.Body), int64(maxResponseSize)+1))
 	if err != nil {
 		return rawResponse{}, c.noResponseError(call, true, err)
 	}
--- a/qhplatform/http_test.go
+++ b/qhplatform/http_test.go
@@ -56,6 +56,19 @@
 		Expect(changes.Era).To(BeEquivalentTo(era))
 	}, Entry("named", "3", 3), Entry("missing", "", 0), Entry("malformed", "x", 0))
 
+	It("reports the bytes of a response that does not end", func() {
+		store := connect(qhplatform.HTTPOptions{Timeout: 300 * time.Millisecond, MaxAttempts: 1}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte("begins"))
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		}))
+		var received atomic.Int64
+		_, err := store.ListAt(qhplatform.WithProgress(ctx, func(bytes int) { received.Add(int64(bytes)) }), "k/")
+		Expect(qherr.Is(err, qherr.Unavailable)).To(BeTrue())
+		Expect(received.Load()).To(BeEquivalentTo(len("begins")))
+	})
+
 	It("reports a refused connection as Unavailable, even for a write", func() {
 		server := httptest.NewServer(http.NotFoundHandler())
 		server.Close()
