--- a/qhfeed/disruptions_test.go
+++ b/qhfeed/disruptions_test.go
@@ -61,6 +61,8 @@
 	limit   time.Duration
 	nodes   []*playedNode
 	active  []*activeDisruption
+	// padding enlarges each version.
+	padding string
 	// written has the times at which the versions were confirmed, from version 1 on.
 	written []time.Time
 	// worst is the longest time until a version was in force, by kind of node, since it
@@ -71,7 +73,7 @@
 
 func newPlay(seed uint64, limit time.Duration) *play {
 	p := &play{
-		random: rand.New(rand.NewPCG(seed, uint64(limit))), fake: qhplatform.NewFake(qhplatform.FakeOptions{WatchTimeout: time.Minute}),
+		random: rand.New(rand.NewPCG(seed, uint64(limit))), fake: qhplatform.NewFake(qhplatform.FakeOptions{WatchTimeout: time.Minute, EachChange: true}),
 		limit: limit, worst: make(map[string]time.Duration),
 	}
 	p.network = newNetwork(rand.New(rand.NewPCG(seed, 1)))
@@ -111,7 +113,7 @@
 	p.fake.SetFaults(qhplatform.Faults{}) // the operator's own way to the store works
 	object, err := store.Get(ctx, configKey)
 	Expect(err).NotTo(HaveOccurred())
-	_, err = store.Update(ctx, configKey, encodeStoredConfig(qhid.Version(len(p.written)+1)), object.Revision)
+	_, err = store.Update(ctx, configKey, encodePaddedConfig(qhid.Version(len(p.written)+1), p.padding), object.Revision)
 	Expect(err).NotTo(HaveOccurred())
 	p.fake.SetFaults(faults)
 	p.written = append(p.written, time.Now())
--- a/qhfeed/feed_test.go
+++ b/qhfeed/feed_test.go
@@ -34,6 +34,8 @@
 type storedConfig struct {
 	Version qhid.Version    `json:"version"`
 	Config  qhconfig.Config `json:"config"`
+	// Padding makes the value as large as one with many routes.
+	Padding string `json:"padding,omitempty"`
 }
 
 func decodeStoredConfig(value []byte) (qhid.Version, qhconfig.Config, []qhconfig.Problem, error) {
@@ -44,8 +46,10 @@
 	return stored.Version, stored.Config, nil, nil
 }
 
-func encodeStoredConfig(version qhid.Version) []byte {
-	value, err := json.Marshal(storedConfig{Version: version, Config: qhconfig.Config{Services: []qhconfig.Service{{Name: "booking", Slots: int(version)}}}})
+func encodeStoredConfig(version qhid.Version) []byte { return encodePaddedConfig(version, "") }
+
+func encodePaddedConfig(version qhid.Version, padding string) []byte {
+	value, err := json.Marshal(storedConfig{Version: version, Config: qhconfig.Config{Services: []qhconfig.Service{{Name: "booking", Slots: int(version)}}}, Padding: padding})
 	Expect(err).NotTo(HaveOccurred())
 	return value
 }
--- a/qhfeed/network_test.go
+++ b/qhfeed/network_test.go
@@ -66,12 +66,52 @@
 	listeners   map[string]*memoryListener
 	pairs       map[*connPair]struct{}
 	disruptions []*disruption
+	// links has the links of the hosts whose bandwidth is limited.
+	links map[string]*link
 	// changed is closed and replaced when a disruption ends.
 	changed chan struct{}
 }
 
 func newNetwork(random *rand.Rand) *network {
-	return &network{random: random, listeners: make(map[string]*memoryListener), pairs: make(map[*connPair]struct{}), changed: make(chan struct{})}
+	return &network{random: random, listeners: make(map[string]*memoryListener), pairs: make(map[*connPair]struct{}), links: make(map[string]*link), changed: make(chan struct{})}
+}
+
+// maxSegment is the number of bytes that arrive together on a limited link.
+const maxSegment qhid.Bytes = 8 << 10
+
+// link is the link of a host. What its connections receive shares the bandwidth.
+type link struct {
+	mu sync.Mutex
+	// speed is the bandwidth.
+	speed qhid.MegabitsPerSecond
+	// freeAt is when the link has carried all segments so far.
+	freeAt time.Time
+}
+
+// carry returns once the link has carried a segment, or ctx ends.
+func (l *link) carry(ctx context.Context, length int) {
+	l.mu.Lock()
+	now := time.Now()
+	if l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(float64(8*length) / (float64(l.speed) * 1e6) * float64(time.Second)))
+	wait := l.freeAt.Sub(now)
+	l.mu.Unlock()
+	qhgroup.Sleep(ctx, wait)
+}
+
+// limit limits the bandwidth of a host's link. It is called before the host is connected.
+func (n *network) limit(host string, speed qhid.MegabitsPerSecond) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.links[host] = &link{speed: speed}
+}
+
+func (n *network) linkOf(host string) *link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.links[host]
 }
 
 // disrupt starts a disruption and returns the function that ends it.
@@ -155,9 +195,28 @@
 	onClose  context.CancelFunc
 }
 
-// Write holds bytes back during a partition, and for a part of its length afterwards, as
-// the backoff of TCP does.
+// Write carries bytes over the receiver's link, if that is limited.
 func (c *networkConn) Write(p []byte) (int, error) {
+	limited := c.network.linkOf(c.to)
+	if limited == nil {
+		return c.writeSegment(p)
+	}
+	written := 0
+	for written < len(p) {
+		segment := p[written:min(len(p), written+int(maxSegment))]
+		limited.carry(c.closed, len(segment))
+		n, err := c.writeSegment(segment)
+		written += n
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
+}
+
+// writeSegment holds bytes back during a partition, and for a part of its length
+// afterwards, as the backoff of TCP does.
+func (c *networkConn) writeSegment(p []byte) (int, error) {
 	start, held := time.Now(), false
 	for {
 		d, changed := c.network.find(c.from, c.to)
--- a/qhplatform/fake.go
+++ b/qhplatform/fake.go
@@ -26,12 +26,16 @@
 type FakeOptions struct {
 	// WatchTimeout bounds a waiting watch; 10 s if it is 0.
 	WatchTimeout time.Duration
+	// EachChange makes a watch of a prefix return each known change of an object, not
+	// only the latest.
+	EachChange bool
 }
 
 // Fake is a fake platform: the object API in memory, with fault injection, for
 // tests and demos. It is safe for concurrent use.
 type Fake struct {
 	watchTimeout time.Duration
+	eachChange   bool
 
 	mu sync.Mutex
 	// revision is the revision of the last write of any object, so that an object
@@ -59,6 +63,7 @@
 	}
 	return &Fake{
 		watchTimeout: opts.WatchTimeout,
+		eachChange:   opts.EachChange,
 		era:          1,
 		history:      make(map[Key][]Object),
 		limiter:      rate.NewLimiter(rate.Inf, 1),
--- a/qhplatform/fake_watch.go
+++ b/qhplatform/fake_watch.go
@@ -59,8 +59,8 @@
 	}
 }
 
-// changesSince returns the latest states of the objects changed after a revision, and a
-// channel that is closed at the next write.
+// changesSince returns the latest states of the objects changed after a revision, or all of
+// them with FakeOptions.EachChange, and a channel that is closed at the next write.
 func (f *Fake) changesSince(prefix Key, after Revision) (Changes, <-chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -72,9 +72,16 @@
 	}
 	changes := Changes{Revision: f.revision, Era: f.era}
 	for key, writes := range f.history {
-		last := writes[len(writes)-1]
-		if last.Revision > after && strings.HasPrefix(string(key), string(prefix)) {
-			changes.Objects = append(changes.Objects, clone(last))
+		if !strings.HasPrefix(string(key), string(prefix)) {
+			continue
+		}
+		if !f.eachChange {
+			writes = writes[len(writes)-1:]
+		}
+		for _, write := range writes {
+			if write.Revision > after {
+				changes.Objects = append(changes.Objects, clone(write))
+			}
 		}
 	}
 	slices.SortFunc(changes.Objects, func(a, b Object) int { return cmp.Compare(a.Revision, b.Revision) })
