qhfeed: A node with a slow link ends what it begins to read

What callers saw: nodes in contact that handle requests by an older version.

A round of calls to the store was cancelled after half the convergence limit, and each call of it was repeated beside the one before, over the same link. From three versions on no response ended, and the next one was longer. The class: a retry that begins a transfer anew in less time than it takes.

Ruled out by 'received' in the new test's logs: a silent connection (1.9 MB arrived before 'store unreachable').

Change: qhplatform.Receipt bounds the size of a response; a watch whose changes are longer than 1.5 times the objects fails with ErrTooLong and the node lists instead. A round does not end, and no call is repeated, while bytes arrive; a response that pauses for the grace counts as silent, also one to a watch, which was never cancelled before once it had begun. The time of the last call no longer delays the listing that follows a response.

--- a/qhfeed/object_cache.go
+++ b/qhfeed/object_cache.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 
+	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhplatform"
 	"quetzalhaven.dev/qhwire"
 )
@@ -132,6 +133,17 @@
 	return newest
 }
 
+// size returns the size of the values of all objects.
+func (c *objectCache) size() qhid.Bytes {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var size qhid.Bytes
+	for _, object := range c.objects {
+		size += qhid.Bytes(len(object.Value))
+	}
+	return size
+}
+
 // packedFor returns the packed value of an object for a node whose newest object has
 // revision base. If that is the object's previous revision, the value is packed as a
 // difference from it, and base is returned too; else it is packed by itself, and 0
--- a/qhfeed/repeat.go
+++ b/qhfeed/repeat.go
@@ -26,17 +26,24 @@
 
 // repeatCall calls the store until a call succeeds, at most for a round. The next call does
 // not wait for the one before, whose connection may be silent, and which may still succeed
-// if the store is only slow. The error is that of the last call that failed, or errSilent.
+// if the store is only slow. While a response arrives, no further call shares the link
+// with it, and the round does not end. The error is that of the last call that failed, or
+// errSilent.
 func repeatCall[T any](ctx context.Context, w *watcher, source *watchSource, call func(ctx context.Context) (T, error)) (T, error) {
-	ctx, cancel := context.WithTimeout(ctx, w.roundLength())
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan callResult[T])
-	next := time.NewTimer(w.untilNextCall())
+	next, end := time.NewTimer(w.untilNextCall()), time.NewTimer(w.roundLength())
 	defer next.Stop()
+	defer end.Stop()
 	last := errSilent
 	for calls := 0; ; {
 		select {
 		case <-next.C:
+			if arriving := w.untilStalled(); arriving > 0 {
+				next.Reset(arriving)
+				continue
+			}
 			if calls > 0 {
 				w.startFailing(last)
 			}
@@ -52,6 +59,7 @@
 				}
 			})
 		case result := <-results:
+			w.lastBytes.Store(0)
 			if result.err == nil || qherr.Is(result.err, qherr.Conflict) {
 				w.lastCall = time.Time{}
 				source.askedAt = result.askedAt
@@ -60,6 +68,13 @@
 			last = result.err
 		case <-w.restartWatch: // another node knows more, so that the store probably responds
 			next.Reset(min(w.untilNextCall(), time.Until(w.lastCall.Add(w.feed.limitShare(reconnectShare)))))
+		case <-end.C:
+			if arriving := w.untilStalled(); arriving > 0 {
+				end.Reset(arriving)
+				continue
+			}
+			var none T
+			return none, last
 		case <-ctx.Done():
 			var none T
 			return none, last
--- a/qhfeed/slow_link_test.go
+++ b/qhfeed/slow_link_test.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,8 +17,10 @@
 const (
 	// slowLinkSpeed is the bandwidth of the clients' links.
 	slowLinkSpeed qhid.MegabitsPerSecond = 5
-	// paddedSize is the size of a version with 1,600 routes.
+	// paddedSize is the size of a version with 1,600 routes in a response of the store.
 	paddedSize qhid.Bytes = 276_000
+	// encodedShare is the part of a value in its encoding in a response.
+	encodedShare = 3.0 / 4
 	// stormInterval is the time between two versions of a storm.
 	stormInterval = 330 * time.Millisecond
 )
@@ -26,10 +29,11 @@
 // versions.
 func newSlowLinkPlay(seed uint64, limit time.Duration) *play {
 	p := newPlay(seed, limit)
-	source := make([]byte, base64.StdEncoding.DecodedLen(int(paddedSize)))
+	source := make([]byte, base64.StdEncoding.DecodedLen(int(encodedShare*float64(paddedSize))))
 	random := rand.NewChaCha8([32]byte{byte(seed)})
 	_, _ = random.Read(source) // never fails
 	p.padding = base64.StdEncoding.EncodeToString(source)
+	p.confirm()
 	for _, n := range p.nodes[minReaders : minReaders+2] {
 		p.network.limit(string(n.id), slowLinkSpeed)
 	}
@@ -69,6 +73,6 @@
 		for _, n := range clients {
 			Expect(n.holder.Version()).To(BeEquivalentTo(len(p.written)), "client %s, %s after the last version was confirmed", n.id, p.limit)
 		}
-		Expect(p.late).To(BeEmpty())
+		Expect(strings.Join(p.late, "\n")).To(BeEmpty())
 	})
 }
--- a/qhfeed/watcher.go
+++ b/qhfeed/watcher.go
@@ -13,6 +13,7 @@
 	"quetzalhaven.dev/qhclock"
 	"quetzalhaven.dev/qherr"
 	"quetzalhaven.dev/qhgroup"
+	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhplatform"
 )
 
@@ -45,6 +46,10 @@
 	// the longest. The time is random, so that the watches of the nodes do not end
 	// together.
 	minWaitShare = 2.0 / 3
+	// minHistory and maxHistoryRatio, a multiple of the size of the objects, bound the size
+	// of a response with changes.
+	minHistory      qhid.Bytes = 64 << 10
+	maxHistoryRatio            = 1.5
 	// resumeWait is how long a source holds a watch that has to tell soon whether the
 	// source responds, and whether the store was restored meanwhile.
 	resumeWait = 10 * time.Millisecond
@@ -96,6 +101,9 @@
 	// received is the number of bytes of the store's responses that have arrived since the
 	// last one that was complete.
 	received atomic.Int64
+	// lastBytes is the qhclock.Instant at which bytes of a response of the store last
+	// arrived; 0 if none have since the last call that ended.
+	lastBytes atomic.Int64
 	// gap is the time between the last two responses. Only run uses it.
 	gap time.Duration
 	// maxWait returns how long the store holds a watch at most, given the number of
@@ -168,7 +176,7 @@
 // run lists the objects and then watches for changes. It lists again whenever the
 // store no longer has the history, or was restored from a copy.
 func (w *watcher) run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for mayHaveMissed := false; ctx.Err() == nil; {
 		source := w.nextSource()
 		w.checkedEra = w.feed.knownEra()
 		start := time.Now()
@@ -188,27 +196,50 @@
 		w.restored = false
 		before := w.feed.Holder.Version()
 		w.applyAndMeasure(source, batch{objects: listing.Objects, revision: listing.Revision, isListing: true, restored: afterRestore})
-		if w.listed.Swap(true) && (afterRestore || w.feed.Holder.Version() > before) {
+		if w.listed.Swap(true) && mayHaveMissed && (afterRestore || w.feed.Holder.Version() > before) {
 			w.notifyReaders()
 		}
 		w.confirm(source)
 		w.feed.checkReady()
-		w.watchChanges(ctx)
+		mayHaveMissed = w.watchChanges(ctx)
 	}
 }
 
 // list lists the objects at the source, and sets when it was asked.
 func (w *watcher) list(ctx context.Context, source *watchSource) (qhplatform.Listing, error) {
 	if source.isStore() {
-		return repeatCall(ctx, w, source, func(ctx context.Context) (qhplatform.Listing, error) { return source.list(w.withProgress(ctx)) })
+		return repeatCall(ctx, w, source, func(ctx context.Context) (qhplatform.Listing, error) { return source.list(w.withReceipt(ctx, 0)) })
 	}
 	source.askedAt = w.feed.Proof.Now()
 	return source.list(ctx)
 }
 
-// withProgress returns a context whose calls to the store count what they receive.
-func (w *watcher) withProgress(ctx context.Context) context.Context {
-	return qhplatform.WithProgress(ctx, func(bytes int) { w.received.Add(int64(bytes)) })
+// withReceipt returns a context whose calls to the store record what they receive, which
+// may have maxSize bytes.
+func (w *watcher) withReceipt(ctx context.Context, maxSize qhid.Bytes) context.Context {
+	return qhplatform.WithReceipt(ctx, qhplatform.Receipt{MaxSize: maxSize, OnBytes: func(bytes int) {
+		w.received.Add(int64(bytes))
+		w.lastBytes.Store(int64(w.feed.Proof.Now()))
+	}})
+}
+
+// maxHistory returns the size of a response from which reading the objects themselves is
+// faster than reading their changes: the store may send each change with the whole object.
+func (w *watcher) maxHistory() qhid.Bytes {
+	if w.cache.size() == 0 {
+		return 0 // the objects may have any size
+	}
+	return max(minHistory, qhid.Bytes(maxHistoryRatio*float64(w.cache.size())))
+}
+
+// untilStalled returns how long a response that is arriving may pause until it counts as
+// one that does not come. It is negative if none is arriving.
+func (w *watcher) untilStalled() time.Duration {
+	last := qhclock.Instant(w.lastBytes.Load())
+	if last == 0 {
+		return -1
+	}
+	return w.grace.allowed() - w.feed.Proof.Now().Since(last)
 }
 
 // checkListing logs a listing and returns an error if it is older than the known
@@ -248,28 +279,32 @@
 	w.revision.Store(uint64(next.revision))
 }
 
-// watchChanges applies changes until the store no longer has the history, was
-// restored from a copy, or ctx ends.
-func (w *watcher) watchChanges(ctx context.Context) {
+// watchChanges applies changes until the objects have to be listed again or ctx ends. It
+// returns whether the watches of other nodes may have missed changes too.
+func (w *watcher) watchChanges(ctx context.Context) (mayHaveMissed bool) {
 	for ctx.Err() == nil {
 		if w.feed.knownEra() > max(w.position.era, w.checkedEra) {
-			return // the store holds a watch from a revision that it has again
+			return true // the store holds a watch from a revision that it has again
 		}
 		source := w.nextSource()
 		changes, err := w.watch(ctx, &source)
 		if ctx.Err() == nil && w.continues(err) {
 			continue
 		}
+		if errors.Is(err, qhplatform.ErrTooLong) {
+			w.feed.Log.Info("changes are longer than the objects, listing again", zap.String("what", w.name), zap.Uint64("revision", uint64(w.position.revision)), zap.Error(err))
+			return false
+		}
 		if qherr.Is(err, qherr.Conflict) {
 			w.feed.Log.Info("store history compacted, listing again", zap.String("what", w.name), zap.Uint64("revision", uint64(w.position.revision)))
 			w.feed.restartWatches(w)
-			return
+			return true
 		}
 		next := position{era: changes.Era, revision: changes.Revision}
 		relation := w.position.compareEra(next.era)
 		if err == nil && relation == restored {
 			w.recordRestore(next)
-			return
+			return true
 		}
 		if err == nil && relation == precedes {
 			err = w.olderResponseError(next)
@@ -289,6 +324,7 @@
 			qhgroup.Sleep(ctx, pause)
 		}
 	}
+	return false
 }
 
 // continues reports whether a watch that ended with err is continued at once: one that
@@ -390,21 +426,26 @@
 		})
 	}
 	source.askedAt, w.lastCall = w.feed.Proof.Now(), time.Now()
-	return w.watchHeld(ctx, *source, w.nextWait(*source))
+	changes, err := w.watchHeld(ctx, *source, w.nextWait(*source))
+	w.lastBytes.Store(0)
+	if err == nil || qherr.Is(err, qherr.Conflict) {
+		w.lastCall = time.Time{} // the next call need not wait
+	}
+	return changes, err
 }
 
 // watchOnce waits for changes once, and records by how much the store's response is late.
 func (w *watcher) watchOnce(ctx context.Context, source watchSource, from position, wait time.Duration) (qhplatform.Changes, error) {
 	start := time.Now()
-	changes, err := source.watch(w.withProgress(ctx), from, wait)
+	changes, err := source.watch(w.withReceipt(ctx, w.maxHistory()), from, wait)
 	if elapsed := time.Since(start); err == nil && source.isStore() && elapsed >= wait {
 		w.grace.recordLateness(elapsed - wait)
 	}
 	return changes, err
 }
 
-// watchHeld waits for changes while the source holds the watch. It is not cancelled once
-// the response has begun to arrive.
+// watchHeld waits for changes while the source holds the watch. It is not cancelled while
+// the response arrives.
 func (w *watcher) watchHeld(ctx context.Context, source watchSource, wait time.Duration) (qhplatform.Changes, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -427,9 +468,17 @@
 		case <-stop:
 			return
 		}
-		if !responding.Load() {
-			cancel(cause)
+		if responding.Load() && !source.isStore() {
+			return // the response of a reader is short, and bounded by the timeout of the request
+		}
+		for arriving := w.untilStalled(); arriving > 0; arriving = w.untilStalled() {
+			select {
+			case <-time.After(arriving):
+			case <-stop:
+				return
+			}
 		}
+		cancel(cause)
 	})
 	changes, err := w.watchOnce(ctx, source, w.position, wait)
 	for _, cause := range []error{errWatchRestarted, errSilent} {
@@ -465,6 +514,7 @@
 	w.gap = w.sinceResponse()
 	w.lastResponse.Store(int64(w.feed.Proof.Now()))
 	w.received.Store(0)
+	w.lastBytes.Store(0)
 	w.watchesStore.Store(source.isStore())
 	if w.failing.Swap(false) {
 		w.feed.Log.Info("watch works again", zap.String("what", w.name), zap.String("reader", string(source.reader.Node)))
--- a/qhplatform/handler.go
+++ b/qhplatform/handler.go
@@ -239,8 +239,15 @@
 }
 
 func writeJSON[T any](w http.ResponseWriter, value T) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		writeError(w, qherr.New(qherr.Internal, err, "report this as a bug", "the response cannot be encoded"))
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value) // the client sees a truncated response
+	body = append(body, '\n')
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body) // the client sees a truncated response
 }
 
 // writeError sends an error response. For a lost response it aborts the connection.
--- a/qhplatform/http_call.go
+++ b/qhplatform/http_call.go
@@ -3,8 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strings"
@@ -101,7 +101,10 @@
 		return rawResponse{}, c.noResponseError(call, sent.Load(), err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(withProgress(ctx, resp.Body), int64(maxResponseSize)+1))
+	body, err := receive(ctx, call, resp.Body, resp.ContentLength)
+	if errors.Is(err, ErrTooLong) {
+		return rawResponse{}, err
+	}
 	if err != nil {
 		return rawResponse{}, c.noResponseError(call, true, err)
 	}
--- a/qhplatform/http_test.go
+++ b/qhplatform/http_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,11 +66,27 @@
 			<-r.Context().Done()
 		}))
 		var received atomic.Int64
-		_, err := store.ListAt(qhplatform.WithProgress(ctx, func(bytes int) { received.Add(int64(bytes)) }), "k/")
+		_, err := store.ListAt(qhplatform.WithReceipt(ctx, qhplatform.Receipt{OnBytes: func(bytes int) { received.Add(int64(bytes)) }}), "k/")
 		Expect(qherr.Is(err, qherr.Unavailable)).To(BeTrue())
 		Expect(received.Load()).To(BeEquivalentTo(len("begins")))
 	})
 
+	DescribeTable("does not receive a response that is too long", func(tellsLength bool) {
+		written := make(chan int, 1)
+		store := connect(qhplatform.HTTPOptions{}, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			body := bytes.Repeat([]byte(" "), 64<<20)
+			if tellsLength {
+				w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+			}
+			n, _ := w.Write(body)
+			written <- n
+		}))
+		_, err := store.WatchPrefix(qhplatform.WithReceipt(ctx, qhplatform.Receipt{MaxSize: 1000}), "k/", 1, time.Millisecond)
+		Expect(qherr.Is(err, qherr.Conflict)).To(BeTrue())
+		Expect(errors.Is(err, qhplatform.ErrTooLong)).To(BeTrue())
+		Expect(<-written).To(BeNumerically("<", 64<<20))
+	}, Entry("with its length told", true), Entry("in chunks", false))
+
 	It("reports a refused connection as Unavailable, even for a write", func() {
 		server := httptest.NewServer(http.NotFoundHandler())
 		server.Close()
