qhfeed: Each client bounds the age of what it knows

What callers saw: nodes in contact that handle requests by an older version.

Cause: a client relied on its readers to notice in time that they no longer hear from the store. A reader serves for up to 0.8 of the convergence limit after the last response; one that is lost right before it would have refused adds the client's own wait, 0.35, and a node on a slow link 0.3 for reading a version. The class: a bound that rests on others keeping theirs, with a sum that has one failure.

Ruled out: late nodes whose readers had been heard (the logs have their refusals).

Change: a node knows its staleness, from when its source was asked and what that said of its own age, so that a response that was held up or read late is not younger than it is. At 0.45 of the limit a client asks a reader of another zone, which sends the difference, at 0.55 the store. After a call to the store a reader is asked first, else a node on a slow link would read each version from there. Readers hear from the store each 0.4 instead of 0.5, and pass on that there is no change. docs/design/convergence.md.

--- a/qhfeed/budget.go
+++ b/qhfeed/budget.go
@@ -9,7 +9,7 @@
 const (
 	// storeWaitShare bounds the time between two responses of the store to watches of
 	// the configuration.
-	storeWaitShare = 0.5
+	storeWaitShare = 0.4
 	// storeGraceShare is how much later the response to a watch may begin until its
 	// connection counts as silent. The grace grows with the lateness of a slow store, up
 	// to maxStoreGraceShare.
@@ -28,6 +28,11 @@
 	// response to the client, and readerGraceShare how much longer its response may take.
 	readerWaitShare  = 0.2
 	readerGraceShare = 0.15
+	// farReaderShare is how old the knowledge of a client may get until it asks a reader of
+	// another availability zone, and ownCallShare until it asks the store itself. Both are
+	// above storeWaitShare, the age that readers in order let it reach.
+	farReaderShare = 0.45
+	ownCallShare   = 0.55
 	// maxPauseShare bounds the pause of a watcher after a change.
 	maxPauseShare = 0.3
 )
--- a/qhfeed/budget_test.go
+++ b/qhfeed/budget_test.go
@@ -33,6 +33,7 @@
 		"a reader that the store serves again":                 {retryShare},
 		"a client without a usable reader, after a disruption": {clientRoundShare},
 		"changes in quick succession":                          {maxPauseShare, maxPauseShare},
+		"a client whose sources fail one after the other":      {ownCallShare},
 	} {
 		sum := 0.0
 		for _, wait := range waits {
@@ -42,6 +43,8 @@
 	}
 	Expect(storeWaitShare+maxStoreGraceShare+reconnectShare).To(BeNumerically("<=", 1+1e-9), "the first silent connection after the store was slow")
 	Expect(maxPauseShare).To(BeNumerically("<=", storeWaitShare), "the time between two responses includes the pause")
+	Expect(farReaderShare).To(BeNumerically(">", storeWaitShare), "readers in order let knowledge get so old")
+	Expect(ownCallShare).To(BeNumerically(">=", farReaderShare+reconnectShare), "the far reader has time to respond")
 }
 
 // TestWaitsAreDerivedFromConvergenceLimit checks that the waits of a feed are the shares
--- a/qhfeed/disruptions_test.go
+++ b/qhfeed/disruptions_test.go
@@ -169,6 +169,41 @@
 	p.disrupt(nodes, 4*time.Second, &disruption{effect: holds, between: func(a, b string) bool { return slices.Contains(inside, a) && !slices.Contains(inside, b) }})
 }
 
+// suspend suspends nodes.
+func (p *play) suspend(nodes []*playedNode) {
+	p.disrupt(nodes, 3*time.Second, &disruption{effect: suspends, between: involving(hosts(nodes)...)})
+}
+
+// cutFromStore partitions nodes from the store only.
+func (p *play) cutFromStore(nodes []*playedNode) {
+	cut := hosts(nodes)
+	p.disrupt(nodes, 5*time.Second, &disruption{effect: holds, between: func(a, b string) bool { return a == storeHost && slices.Contains(cut, b) }})
+}
+
+// cutFromFar partitions nodes from the store and from the nodes of other zones, but not from
+// those of their own.
+func (p *play) cutFromFar(nodes []*playedNode) {
+	zones := make(map[string]qhid.Zone)
+	for _, n := range p.nodes {
+		zones[string(n.id)] = n.zone
+	}
+	cut := hosts(nodes)
+	p.disrupt(nodes, 5*time.Second, &disruption{effect: holds, between: func(a, b string) bool { return slices.Contains(cut, a) && zones[a] != zones[b] }})
+}
+
+// restartInTurn stops nodes one after the other and starts each again.
+func (p *play) restartInTurn(nodes []*playedNode) {
+	const interval = 400 * time.Millisecond
+	for i, n := range nodes {
+		turn := time.Now().Add(time.Duration(i) * interval)
+		p.active = append(p.active, &activeDisruption{until: turn, end: n.kill}, &activeDisruption{until: turn.Add(interval), end: func() {
+			if n.testNode == nil {
+				p.start(n)
+			}
+		}})
+	}
+}
+
 // killNodes stops nodes and starts them again. Without power their connections become
 // silent, else they are closed.
 func (p *play) killNodes(nodes []*playedNode) {
@@ -214,6 +249,8 @@
 		func() { p.turnAway(swallows) }, func() { p.turnAway(resets) },
 		func() { p.cut(p.zone()) }, func() { p.cut(p.share(0.2)) },
 		func() { p.killNodes(p.share(0.2)) }, func() { p.killNodes(p.share(0.6)) },
+		func() { p.suspend(p.share(0.2)) }, func() { p.cutFromStore(p.share(0.2)) }, func() { p.cutFromFar(p.share(0.2)) },
+		func() { p.restartInTurn(p.share(0.5)) },
 		func() { p.storeFault(4*time.Second, qhplatform.Faults{Hang: true}) },
 		func() { p.storeFault(4*time.Second, qhplatform.Faults{Down: true}) },
 		func() {
--- a/qhfeed/network_test.go
+++ b/qhfeed/network_test.go
@@ -44,6 +44,9 @@
 	swallows
 	// resets closes connections and refuses new ones.
 	resets
+	// suspends keeps bytes back until the disruption ends, but lets connections open, as a
+	// suspended process does.
+	suspends
 )
 
 // disruption disrupts the connections between the hosts that between matches.
@@ -121,7 +124,7 @@
 		n.silence(1, d.matches)
 	case resets:
 		n.reset(d.matches)
-	case holds:
+	case holds, suspends:
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -223,10 +226,10 @@
 		if c.pair.silent.Err() != nil {
 			return len(p), nil //nolint:nilerr // the sender does not notice
 		}
-		if d == nil || d.effect != holds {
+		if d == nil || d.effect != holds && d.effect != suspends {
 			break
 		}
-		held = true
+		held = held || d.effect == holds
 		select {
 		case <-changed:
 		case <-c.pair.silent.Done():
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -141,7 +141,7 @@
 	}
 	f.config = f.newWatcher("configuration", prefixOf(options.ConfigKey), f.applyConfigObjects)
 	f.config.maxWait, f.config.watchInterval = f.configMaxWait, configWatchInterval
-	f.config.proves, f.config.retryInterval = true, f.limitShare(retryShare)
+	f.config.isConfig, f.config.retryInterval = true, f.limitShare(retryShare)
 	f.nodes = f.newWatcher("nodes", entryPrefix, f.applyNodeObjects)
 	f.nodes.maxWait, f.nodes.watchInterval = nodesMaxWait, nodesWatchInterval
 	if options.RolloutPrefix != "" {
--- a/qhfeed/reader.go
+++ b/qhfeed/reader.go
@@ -76,10 +76,15 @@
 	return zones
 }
 
-// chooseReader returns the reader to watch through, or false if this node watches
-// the store itself. The choice hashes both node ids, which spreads the clients over
-// the readers, so that the failure of one reader does not delay a whole zone. If all
-// readers of the zone are skipped, the node watches the store.
+// readerRank orders the readers for a client, the lowest first. It hashes both node ids,
+// which spreads the clients over the readers, so that the failure of one reader does not
+// delay a whole zone.
+func readerRank(client, reader qhid.Node) uint64 {
+	return xxhash.Sum64String(string(client) + "/" + string(reader))
+}
+
+// chooseReader returns the reader of this node's availability zone to watch through, or
+// false if this node watches the store itself or all of them are skipped.
 func (f *Feed) chooseReader() (qhmember.Entry, bool) {
 	self := f.Members.Self()
 	var chosen qhmember.Entry
@@ -91,7 +96,7 @@
 		if f.isSkipped(reader.Node) {
 			continue
 		}
-		if rank := xxhash.Sum64String(string(self.Node) + "/" + string(reader.Node)); chosen.Node == "" || rank < lowestRank {
+		if rank := readerRank(self.Node, reader.Node); chosen.Node == "" || rank < lowestRank {
 			chosen, lowestRank = reader, rank
 		}
 	}
--- a/qhfeed/serve_watch.go
+++ b/qhfeed/serve_watch.go
@@ -36,8 +36,10 @@
 	reader qhmember.Entry
 	// maxWait is how long the source holds a watch at most.
 	maxWait time.Duration
-	// askedAt is when the source was asked, on the clock of Feed.Proof.
+	// askedAt is when the source was asked, on the clock of Feed.Proof, and held how long
+	// it was asked to hold the watch.
 	askedAt qhclock.Instant
+	held    time.Duration
 	// report is what the reader told of itself with its last response; nil for the store.
 	report *readerReport
 	// list and watch read and watch the watcher's prefix at the source.
@@ -60,7 +62,7 @@
 	// proofAge is the age of its proof that its configuration is the newest; -1 if it
 	// has none.
 	proofAge time.Duration
-	// age is the time since the store last responded to it.
+	// age is the staleness of what it knows.
 	age time.Duration
 }
 
@@ -68,23 +70,40 @@
 // it is the store.
 func (w *watcher) nextSource() watchSource {
 	feed := w.feed
-	if reader, ok := feed.chooseReader(); ok && w.listed.Load() {
-		report := &readerReport{proofAge: -1}
-		return watchSource{
-			reader:  reader,
-			report:  report,
-			maxWait: cmp.Or(w.readerWait, feed.limitShare(readerWaitShare)),
-			list:    func(ctx context.Context) (qhplatform.Listing, error) { return w.listViaReader(ctx, reader, report) },
-			watch: func(ctx context.Context, after position, wait time.Duration) (qhplatform.Changes, error) {
-				return w.watchViaReader(ctx, reader, after, wait, report)
-			},
+	if !w.listed.Load() || !feed.hasReaders() || w.isStale(ownCallShare) && w.readerTried && !w.failing.Load() {
+		return w.storeSource()
+	}
+	reader, ok := feed.chooseReader()
+	if w.isConfig && (!ok || w.isStale(farReaderShare)) {
+		if far, found := feed.chooseFarReader(); found {
+			return w.readerSource(far)
 		}
 	}
+	if !ok {
+		return w.storeSource()
+	}
+	return w.readerSource(reader)
+}
+
+func (w *watcher) readerSource(reader qhmember.Entry) watchSource {
+	report := &readerReport{proofAge: -1}
+	return watchSource{
+		reader:  reader,
+		report:  report,
+		maxWait: cmp.Or(w.readerWait, w.feed.limitShare(readerWaitShare)),
+		list:    func(ctx context.Context) (qhplatform.Listing, error) { return w.listViaReader(ctx, reader, report) },
+		watch: func(ctx context.Context, after position, wait time.Duration) (qhplatform.Changes, error) {
+			return w.watchViaReader(ctx, reader, after, wait, report)
+		},
+	}
+}
+
+func (w *watcher) storeSource() watchSource {
 	return watchSource{
-		maxWait: w.maxWait(totalReaders(feed.Members.View().Entries)),
-		list:    func(ctx context.Context) (qhplatform.Listing, error) { return feed.Store.ListAt(ctx, w.prefix) },
+		maxWait: w.maxWait(totalReaders(w.feed.Members.View().Entries)),
+		list:    func(ctx context.Context) (qhplatform.Listing, error) { return w.feed.Store.ListAt(ctx, w.prefix) },
 		watch: func(ctx context.Context, after position, wait time.Duration) (qhplatform.Changes, error) {
-			return feed.Store.WatchPrefix(ctx, w.prefix, after.revision, wait)
+			return w.feed.Store.WatchPrefix(ctx, w.prefix, after.revision, wait)
 		},
 	}
 }
@@ -112,7 +131,7 @@
 	// ProofAge is the age of the reader's proof that its configuration is the newest,
 	// in nanoseconds; nil if it has none.
 	ProofAge *time.Duration `json:"g,omitempty"`
-	// Age is the time since the store last responded to the reader, in nanoseconds.
+	// Age is the staleness of what the reader knows, in nanoseconds.
 	Age time.Duration `json:"t,omitempty"`
 }
 
@@ -162,24 +181,26 @@
 	return nil
 }
 
-// waitForChanges waits for changes after the requested revision and returns the
-// response with its status. Only a node that watches the store itself serves
+// waitForChanges waits for changes after the requested revision, or for the knowledge that
+// there are none, and returns the response with its status. Only a node that watches the store itself serves
 // watches, so that nodes never watch each other in a cycle.
 func (w *watcher) waitForChanges(ctx context.Context, request watchRequest) (watchResponse, int) {
 	timer := time.NewTimer(min(request.Wait, maxServedWait, w.servesFor()))
 	defer timer.Stop()
-	after := position{era: request.Era, revision: request.After}
+	after, knownAt := position{era: request.Era, revision: request.After}, w.knownAt.Load()
 	for timedOut := false; ; {
-		proofAge := w.servedProofAge() // before the objects that it covers
+		// Both are read before the objects that they cover.
+		proofAge, age := w.servedProofAge(), w.staleness()
+		isNews := w.isConfig && w.knownAt.Load() > knownAt
 		changes, at, changed, ok := w.cache.since(after)
 		switch {
 		case !w.canServeWatches() || after.compareEra(at.era) == precedes:
 			return watchResponse{}, http.StatusServiceUnavailable
 		case !ok:
 			return watchResponse{}, http.StatusConflict
-		case len(changes) > 0 || timedOut || request.After == 0:
+		case len(changes) > 0 || isNews || timedOut || request.After == 0:
 			response, status := w.encodeObjects(changes, at, request.KnownRevision)
-			response.ProofAge, response.Age = proofAge, w.sinceResponse()
+			response.ProofAge, response.Age = proofAge, age
 			return response, status
 		}
 		select {
@@ -196,7 +217,7 @@
 // or none is needed.
 func (w *watcher) servedProofAge() *time.Duration {
 	age, ok := w.feed.Proof.Age()
-	if !w.proves || !ok || !w.feed.Proof.IsNeeded() {
+	if !w.isConfig || !ok || !w.feed.Proof.IsNeeded() {
 		return nil
 	}
 	return &age
--- a/qhfeed/watcher.go
+++ b/qhfeed/watcher.go
@@ -104,6 +104,12 @@
 	// lastBytes is the qhclock.Instant at which bytes of a response of the store last
 	// arrived; 0 if none have since the last call that ended.
 	lastBytes atomic.Int64
+	// knownAt is the qhclock.Instant up to which the known objects are those of the store.
+	knownAt atomic.Int64
+	// readerTried is set from the first call to a reader after a response of the store
+	// until the next one. Without one, a node on a slow link would read each version from
+	// the store once it has read one. Only run uses it.
+	readerTried bool
 	// gap is the time between the last two responses. Only run uses it.
 	gap time.Duration
 	// maxWait returns how long the store holds a watch at most, given the number of
@@ -114,8 +120,9 @@
 	// reconnecting is set from the time that a connection to the store was silent
 	// until the next response. Only run uses it.
 	reconnecting bool
-	// proves is set if the objects are the configuration, whose age Feed.Proof tells.
-	proves bool
+	// isConfig is set if the objects are the configuration. Feed.Proof tells its age, and
+	// the watcher asks further sources before what it knows gets too old.
+	isConfig bool
 	// readerWait is how long a reader holds a watch at most; 0 for the default.
 	readerWait time.Duration
 	// watchInterval is the minimum time between two watches. Changes that come
@@ -139,6 +146,7 @@
 func (f *Feed) newWatcher(name string, prefix qhplatform.Key, apply func(batch)) *watcher {
 	w := &watcher{feed: f, name: name, prefix: prefix, apply: apply, cache: newObjectCache(), restartWatch: make(chan struct{}, 1)}
 	w.lastResponse.Store(int64(f.Proof.Now()))
+	w.knownAt.Store(w.lastResponse.Load())
 	w.grace = newResponseGrace(f.limitShare(storeGraceShare), f.limitShare(maxStoreGraceShare))
 	w.retryInterval = f.ConvergenceLimit
 	f.Metrics.NewGauge(`qh_store_era{what="`+name+`"}`, func() float64 { return float64(w.era.Load()) })
@@ -165,7 +173,7 @@
 		return 0
 	}
 	longest := w.maxWait(totalReaders(w.feed.Members.View().Entries)) + w.grace.allowed() + w.feed.limitShare(reconnectShare)
-	return longest - w.sinceResponse()
+	return longest - w.staleness()
 }
 
 // sinceResponse returns the age of the last response of the store or a reader.
@@ -192,6 +200,7 @@
 		w.recordResponse(source)
 		w.setPosition(w.position.advance(position{era: listing.Era, revision: listing.Revision}))
 		w.cache.replace(listing.Objects, w.position, w.restored)
+		w.recordKnowledge(source)
 		afterRestore := w.restored
 		w.restored = false
 		before := w.feed.Holder.Version()
@@ -316,6 +325,10 @@
 		w.recordResponse(source)
 		w.setPosition(w.position.advance(next))
 		w.cache.add(changes.Objects, w.position)
+		w.recordKnowledge(source)
+		if !source.isStore() && w.feed.isFar(source.reader) && w.isStale(farReaderShare) {
+			w.feed.skipReader(source.reader.Node, w, errNotServing)
+		}
 		w.applyChanges(source, changes)
 		w.confirm(source)
 		if len(changes.Objects) > 0 {
@@ -328,10 +341,11 @@
 }
 
 // continues reports whether a watch that ended with err is continued at once: one that
-// was restarted, or whose connection was silent for the first time.
+// was restarted, that another source replaces, or whose connection was silent for the
+// first time.
 func (w *watcher) continues(err error) bool {
 	switch {
-	case errors.Is(err, errWatchRestarted):
+	case errors.Is(err, errWatchRestarted), errors.Is(err, errStale):
 		return true
 	case errors.Is(err, errSilent) && !w.reconnecting:
 		w.reconnect()
@@ -376,7 +390,7 @@
 // confirm records that the configuration in force was the newest when the source was
 // asked, less the age of a reader's own proof.
 func (w *watcher) confirm(source watchSource) {
-	if !w.proves || w.feed.configUnusable.Load() {
+	if !w.isConfig || w.feed.configUnusable.Load() {
 		return
 	}
 	if source.isStore() {
@@ -420,13 +434,15 @@
 func (w *watcher) watch(ctx context.Context, source *watchSource) (qhplatform.Changes, error) {
 	if source.isStore() && (w.failing.Load() || w.reconnecting) {
 		// A call that is still running after repeatCall has returned uses these copies.
+		source.held = resumeWait
 		store, from := *source, w.position
 		return repeatCall(ctx, w, source, func(ctx context.Context) (qhplatform.Changes, error) {
 			return w.watchOnce(ctx, store, from, resumeWait)
 		})
 	}
 	source.askedAt, w.lastCall = w.feed.Proof.Now(), time.Now()
-	changes, err := w.watchHeld(ctx, *source, w.nextWait(*source))
+	w.readerTried = w.readerTried || !source.isStore()
+	changes, err := w.watchHeld(ctx, source, w.nextWait(*source))
 	w.lastBytes.Store(0)
 	if err == nil || qherr.Is(err, qherr.Conflict) {
 		w.lastCall = time.Time{} // the next call need not wait
@@ -444,19 +460,28 @@
 	return changes, err
 }
 
-// watchHeld waits for changes while the source holds the watch. It is not cancelled while
-// the response arrives.
-func (w *watcher) watchHeld(ctx context.Context, source watchSource, wait time.Duration) (qhplatform.Changes, error) {
+// watchHeld waits for changes while the source holds the watch, and sets how long that was.
+// It is not cancelled while the response arrives, unless what this node knows gets too old.
+func (w *watcher) watchHeld(ctx context.Context, source *watchSource, wait time.Duration) (qhplatform.Changes, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	var responding atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() { responding.Store(true) }})
+	var respondedAt atomic.Int64 // a qhclock.Instant
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
+		respondedAt.Store(int64(w.feed.Proof.Now()))
+		w.lastBytes.Store(respondedAt.Load())
+	}})
 	late := make(<-chan time.Time)
 	if source.isStore() {
 		timer := time.NewTimer(wait + w.grace.allowed())
 		defer timer.Stop()
 		late = timer.C
 	}
+	stale := make(<-chan time.Time)
+	if until := w.untilStale(*source); until > 0 {
+		timer := time.NewTimer(until)
+		defer timer.Stop()
+		stale = timer.C
+	}
 	stop := make(chan struct{})
 	defer close(stop)
 	w.feed.group.Go(func(context.Context) {
@@ -465,10 +490,13 @@
 		case <-w.restartWatch:
 			cause = errWatchRestarted
 		case <-late:
+		case <-stale:
+			cancel(errStale)
+			return
 		case <-stop:
 			return
 		}
-		if responding.Load() && !source.isStore() {
+		if respondedAt.Load() != 0 && !source.isStore() {
 			return // the response of a reader is short, and bounded by the timeout of the request
 		}
 		for arriving := w.untilStalled(); arriving > 0; arriving = w.untilStalled() {
@@ -480,8 +508,11 @@
 		}
 		cancel(cause)
 	})
-	changes, err := w.watchOnce(ctx, source, w.position, wait)
-	for _, cause := range []error{errWatchRestarted, errSilent} {
+	changes, err := w.watchOnce(ctx, *source, w.position, wait)
+	if responded := qhclock.Instant(respondedAt.Load()); responded != 0 {
+		source.held = min(wait, responded.Since(source.askedAt))
+	}
+	for _, cause := range []error{errWatchRestarted, errSilent, errStale} {
 		if err != nil && errors.Is(context.Cause(ctx), cause) {
 			return qhplatform.Changes{}, cause
 		}
@@ -490,11 +521,14 @@
 }
 
 // nextWait returns how long the source should hold the next watch: only as long as the
-// last response does not get too old.
+// last response does not get too old, and of the store what this node knows.
 func (w *watcher) nextWait(source watchSource) time.Duration {
 	shortest := time.Duration(minWaitShare * float64(source.maxWait))
-	wait := shortest + rand.N(source.maxWait-shortest)
-	return max(resumeWait, min(wait, source.maxWait-w.sinceResponse()))
+	wait, age := shortest+rand.N(source.maxWait-shortest), w.sinceResponse()
+	if source.isStore() || w.isStale(farReaderShare) {
+		age = w.staleness()
+	}
+	return max(resumeWait, min(wait, source.maxWait-age))
 }
 
 func (f *Feed) configMaxWait(int) time.Duration {
@@ -516,6 +550,9 @@
 	w.received.Store(0)
 	w.lastBytes.Store(0)
 	w.watchesStore.Store(source.isStore())
+	if source.isStore() {
+		w.readerTried = false
+	}
 	if w.failing.Swap(false) {
 		w.feed.Log.Info("watch works again", zap.String("what", w.name), zap.String("reader", string(source.reader.Node)))
 	}
