platform, qhfeed: One odd object does not stop the others from being read

Cause: a page of a list, or the events of a watch, was decoded as one JSON text. encoding/json gives it up for a value nested over 10,000 deep, and for metadata of another type or range. The node then logged 'store unreachable', again and again, for that kind. The class: one item fails its batch. An item without a spec counted as deleted; one's own entry without a spec would have been created anew without end. Entries with ports out of range or unknown states were used.

Entry.Check refuses entries that no node can have written, and announcements need a port that exists. A node writes its own entry again.

Looked at for the same: rollouts, the configuration and statuses are decoded by object; claims and leases by object; exchanges and heartbeats come from nodes and targets themselves and are refused one by one. Not covered: an entry under another name with the address of a real node and a later incarnation still takes that node's place until the node deletes it.

--- a/qhannounce/qhannounce.go
+++ b/qhannounce/qhannounce.go
@@ -4,7 +4,6 @@
 package qhannounce
 
 import (
-	"net"
 	"slices"
 	"strings"
 	"sync"
@@ -291,13 +290,12 @@
 	invalid := func(key string, value any, remedy string) error {
 		return qherr.New(qherr.BadInput, nil, remedy, "announcement of target %q has %s %v", id, key, value)
 	}
-	host, port, err := net.SplitHostPort(string(announcement.Address))
 	switch {
 	case id == "":
 		return invalid("an empty id", "", "put the target's id into the path")
 	case announcement.Service == "":
 		return invalid("no service", "", "name the service that the target belongs to")
-	case err != nil || host == "" || port == "":
+	case !announcement.Address.IsValid():
 		return invalid("address", announcement.Address, "write it as host:port")
 	case announcement.Slots < 1 || announcement.Slots > MaxSlots:
 		return invalid("slots", announcement.Slots, "give from 1 to 100000")
--- a/qhfeed/feed_test.go
+++ b/qhfeed/feed_test.go
@@ -138,6 +138,42 @@
 		Consistently(n.holder.Version).WithTimeout(300 * time.Millisecond).Should(BeEquivalentTo(9))
 	})
 
+	DescribeTable("keeps the other entries and writes its own again if another writer replaces one", func(value string) {
+		write(1)
+		a, b := startNode("a", store), startNode("b", store)
+		a.announce("ta")
+		b.announce("tb")
+		Eventually(a.knownTargets).WithTimeout(eventuallyTimeout).Should(ConsistOf(qhid.Target("ta"), qhid.Target("tb")))
+		_, err := store.Create(ctx, entryKey("odd"), []byte(value))
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() error {
+			object, err := store.Get(ctx, entryKey("b"))
+			Expect(err).NotTo(HaveOccurred())
+			_, err = store.Update(ctx, entryKey("b"), []byte(value), object.Revision)
+			return err
+		}).WithTimeout(eventuallyTimeout).Should(Succeed())
+		Eventually(func() (qhmember.Entry, error) {
+			object, err := store.Get(ctx, entryKey("b"))
+			Expect(err).NotTo(HaveOccurred())
+			return decodeEntry("b", object.Value)
+		}).WithTimeout(eventuallyTimeout).Should(HaveField("Targets", HaveLen(1)))
+		started := startNode("c", store)
+		started.announce("tc")
+		all := ConsistOf(qhid.Target("ta"), qhid.Target("tb"), qhid.Target("tc"))
+		Eventually(started.knownTargets).WithTimeout(eventuallyTimeout).Should(all)
+		Eventually(a.knownTargets).WithTimeout(eventuallyTimeout).Should(all)
+		Expect(a.feed.invalidEntries.Get()).To(BeNumerically(">=", 1))
+	},
+		Entry("nested too deep", `{"node":"odd","targets":`+strings.Repeat("[", 12_000)+strings.Repeat("]", 12_000)+`}`),
+		Entry("null", `null`),
+		Entry("a text", `"text"`),
+		Entry("a number that is too large", `{"node":"odd","zone":"z","inc":1e999}`),
+		Entry("a negative counter", `{"node":"odd","zone":"z","inc":-1}`),
+		Entry("a port out of range", `{"node":"odd","zone":"kigali-a","peers":"127.0.0.1:99999","calls":"127.0.0.1:99999","inc":1,"seq":1,"state":"up","targets":[{"id":"odd","service":"booking","state":"up","slots":9}]}`),
+		Entry("another node's name", `{"node":"x","zone":"kigali-a","peers":"127.0.0.1:1","calls":"127.0.0.1:1","inc":1,"seq":1,"state":"up"}`),
+		Entry("an unknown state", `{"node":"odd","zone":"kigali-a","peers":"127.0.0.1:1","calls":"127.0.0.1:1","inc":1,"seq":1,"state":"odd","targets":[{"id":"odd","service":"booking","state":"up","slots":9}]}`),
+	)
+
 	It("publishes its targets, their changes and its removal on leaving", func() {
 		write(1)
 		a, b := startNode("a", store), startNode("b", store)
--- a/qhfeed/nodes.go
+++ b/qhfeed/nodes.go
@@ -42,9 +42,10 @@
 			f.removeMember(node, "its entry was deleted from the store")
 			continue
 		}
-		var entry qhmember.Entry
-		if err := json.Unmarshal(object.Value, &entry); err != nil || entry.Node != node {
-			f.Log.Warn("cannot decode node entry", zap.String("node", string(node)), zap.Error(err))
+		entry, err := decodeEntry(node, object.Value)
+		if err != nil {
+			f.invalidEntries.Inc()
+			f.Log.Warn("node entry is not used", zap.String("member", string(node)), zap.Error(err))
 			continue
 		}
 		entries = append(entries, entry)
@@ -106,12 +107,24 @@
 		f.storedRevision = 0
 		return
 	}
-	var entry qhmember.Entry
-	if json.Unmarshal(object.Value, &entry) == nil {
+	if entry, err := decodeEntry(f.Members.Self().Node, object.Value); err == nil {
 		f.storedEntry = entry
 	}
 }
 
+// decodeEntry decodes the entry of a node. Errors are of kind BadInput: another writer has
+// written it.
+func decodeEntry(node qhid.Node, value []byte) (qhmember.Entry, error) {
+	var entry qhmember.Entry
+	if err := json.Unmarshal(value, &entry); err != nil {
+		return qhmember.Entry{}, qherr.New(qherr.BadInput, err, "find out who writes entries besides the nodes", "the entry of node %q cannot be decoded", node)
+	}
+	if entry.Node != node {
+		return qhmember.Entry{}, qherr.New(qherr.BadInput, nil, "find out who writes entries besides the nodes", "the entry of node %q names node %q", node, entry.Node)
+	}
+	return entry, entry.Check()
+}
+
 // recordUnlistedSelf records that the store has no entry of this node if a listing
 // does not have it, unless the entry was written after the listing.
 func (f *Feed) recordUnlistedSelf(listed map[qhid.Node]bool, batch batch) {
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -102,6 +102,8 @@
 	announced bool
 	// silentConnections counts the connections to the store that became silent.
 	silentConnections *metrics.Counter
+	// invalidEntries counts the entries in the store that another writer has written.
+	invalidEntries *metrics.Counter
 	arrivals          arrivalMetrics
 	// reportedEra is the latest era of the store that another reader reported.
 	reportedEra atomic.Uint64
@@ -137,6 +139,7 @@
 		skipped:        make(map[qhid.Node]readerSkip),
 
 		silentConnections: options.Metrics.NewCounter("qh_store_silent_connections_total"),
+		invalidEntries:    options.Metrics.NewCounter("qh_invalid_entries_total"),
 		arrivals:          newArrivalMetrics(options.Metrics),
 	}
 	f.config = f.newWatcher("configuration", prefixOf(options.ConfigKey), f.applyConfigObjects)
--- a/qhplatform/http.go
+++ b/qhplatform/http.go
@@ -195,6 +195,7 @@
 			}
 			page, err := c.Codec.DecodeListing(prefix, response.body)
 			page.Era = response.era
+			c.recordUnreadable(prefix, page.Unreadable)
 			return checkDecoded(page, err)
 		})
 		if err != nil {
@@ -266,5 +267,14 @@
 	}
 	changes, err := c.Codec.DecodeChanges(prefix, response.body)
 	changes.Era = response.era
+	c.recordUnreadable(prefix, changes.Unreadable)
 	return checkDecoded(changes, err)
 }
+
+// recordUnreadable records the objects of a response that cannot be decoded.
+func (c *client) recordUnreadable(prefix Key, unreadable []error) {
+	for _, err := range unreadable {
+		c.Metrics.GetOrCreateCounter("qh_platform_unreadable_objects_total").Inc()
+		c.Log.Warn("object cannot be decoded and is left out", zap.String("prefix", string(prefix)), zap.Error(err))
+	}
+}
--- a/qhplatform/store.go
+++ b/qhplatform/store.go
@@ -49,6 +49,8 @@
 	// ContinueAfter is the last key of this page if there are more pages, else
 	// empty.
 	ContinueAfter Key `json:"-"`
+	// Unreadable has an error for each object that cannot be decoded and is left out.
+	Unreadable []error `json:"-"`
 }
 
 // Changes is the set of changed objects whose keys begin with a prefix.
@@ -60,6 +62,8 @@
 	Revision Revision `json:"at"`
 	// Era is the era of Revision.
 	Era Era `json:"-"`
+	// Unreadable has an error for each change that cannot be decoded and is left out.
+	Unreadable []error `json:"-"`
 }
 
 // Store is the platform's object API. Errors are of these kinds of qherr: NotFound,
