qhconn: A target's connection that closes while it is reserved no longer blocks its pool

What callers saw: calls of a target wait until their deadline, for good, until its node restarts.

Cause: the pool reserved an idle connection with its lock held. http.ClientConn.Reserve calls the state hook of a connection that has just closed synchronously, and the hook takes that lock. The class: a lock held while calling something that calls back. A target that sends bytes beyond its answer closes connections at that moment.

Change: an idle connection is taken out of the pool under the lock, and reserved without it. Looked at for the same: the pool of connections to nodes reserves under its lock too, but sets no state hook, so that nothing calls back.

--- a/qhconn/pool.go
+++ b/qhconn/pool.go
@@ -115,9 +115,12 @@
 func (p *Pool) acquire(ctx context.Context) (*pooledConn, error) {
 	for {
 		p.mu.Lock()
-		if c := p.acquireIdle(time.Now()); c != nil {
+		if c := p.takeIdle(time.Now()); c != nil {
 			p.mu.Unlock()
-			return c, nil
+			if p.reserve(c) {
+				return c, nil
+			}
+			continue
 		}
 		if p.open < p.limit {
 			p.open++
@@ -135,24 +138,34 @@
 	}
 }
 
-// acquireIdle returns an open idle connection or nil. It removes idle connections
-// that are closed or were idle for too long. The lock is held.
-func (p *Pool) acquireIdle(now time.Time) *pooledConn {
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		c := p.idle[last]
-		if now.Sub(c.idleSince) > maxIdleTime {
-			p.closeIdle()
-			return nil
-		}
-		p.idle = p.idle[:last]
-		if c.client.Reserve() == nil {
-			c.inUse = true
-			return c
-		}
+// takeIdle takes the most recently used idle connection out of the pool, or returns nil. It
+// closes idle connections that were idle for too long. The lock is held.
+func (p *Pool) takeIdle(now time.Time) *pooledConn {
+	last := len(p.idle) - 1
+	if last < 0 {
+		return nil
+	}
+	c := p.idle[last]
+	if now.Sub(c.idleSince) > maxIdleTime {
+		p.closeIdle()
+		return nil
+	}
+	p.idle = p.idle[:last]
+	return c
+}
+
+// reserve reserves a connection that was idle for one request. It returns false if the
+// connection is closed. The lock is not held, because the connection may call stateChanged.
+func (p *Pool) reserve(c *pooledConn) bool {
+	err := c.client.Reserve()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if err != nil || c.removed {
 		p.remove(c)
+		return false
 	}
-	return nil
+	c.inUse = true
+	return true
 }
 
 // closeIdle closes all idle connections. The lock is held.
--- a/qhconn/pool_test.go
+++ b/qhconn/pool_test.go
@@ -20,6 +20,9 @@
 	"quetzalhaven.dev/qhid"
 )
 
+// poolTimeout bounds waits for the calls of other goroutines.
+const poolTimeout = 30 * time.Second
+
 // rawTarget is a target that counts the received requests by ID.
 type rawTarget struct {
 	listener net.Listener
@@ -98,6 +101,55 @@
 	return resp.Body.Close()
 }
 
+// newExtraBytesTarget returns the address of a target that sends bytes that belong to no
+// request after each answer.
+func newExtraBytesTarget() qhid.Address {
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, buffered, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		for {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+			time.Sleep(rand.N(50 * time.Microsecond))
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Refused\r\nContent-Length: 0\r\n\r\n")
+			if _, err := http.ReadRequest(buffered.Reader); err != nil {
+				return
+			}
+		}
+	}))
+	DeferCleanup(target.Close)
+	return qhid.Address(target.Listener.Addr().String())
+}
+
+var _ = Describe("a pool whose target sends bytes after its answers", func() {
+	It("still gives connections to all calls", func() {
+		const (
+			callers = 8
+			calls   = 2000
+		)
+		pool := NewPool(newExtraBytesTarget(), callers)
+		done := make(chan struct{}, callers)
+		for range callers {
+			go func() {
+				defer func() { done <- struct{}{} }()
+				for range calls {
+					request, _ := http.NewRequest(http.MethodGet, "http://target/", nil)
+					if resp, err := pool.RoundTrip(request); err == nil {
+						_, _ = io.Copy(io.Discard, resp.Body)
+						_ = resp.Body.Close()
+					}
+				}
+			}()
+		}
+		for range callers {
+			Eventually(done).WithTimeout(poolTimeout).Should(Receive())
+		}
+		pool.Close()
+	})
+})
+
 var _ = Describe("Pool", func() {
 	ctx := context.Background()
 
