qhfeed: Clients ask further sources a little later

Change: 0.5 and 0.6. Ruled out: going back to readers that hear from the store each 0.5, which leaves nothing between their age and the share at which clients ask.

--- a/qhfeed/budget.go
+++ b/qhfeed/budget.go
@@ -31,8 +31,8 @@
 	// farReaderShare is how old the knowledge of a client may get until it asks a reader of
 	// another availability zone, and ownCallShare until it asks the store itself. Both are
 	// above storeWaitShare, the age that readers in order let it reach.
-	farReaderShare = 0.45
-	ownCallShare   = 0.55
+	farReaderShare = 0.5
+	ownCallShare   = 0.6
 	// maxPauseShare bounds the pause of a watcher after a change.
 	maxPauseShare = 0.3
 )
