qhconfig: A version is not refused for the number of its keys, tenants or services

The class: one entry we don't like refuses a version.

Change: no limit on keys, 100,000 tenants and services; MaxSize bounds the memory as before. Looked at: 60,000 routes are more than fit in a value of 1 MiB (played). Not looked at: lengths of names, hosts and prefixes, 64 shares of a route, 16 attempts; an entry beyond those is left out or unset by the repair, and the rest of the version is in force.

--- a/qhconfig/limit.go
+++ b/qhconfig/limit.go
@@ -7,9 +7,10 @@
 )
 
 // The limits of one configuration. They keep every entry far below the maximum
-// size of a value on the platform.
+// size of a value on the platform. No list of the users' platform can exceed its limit in
+// a value of that size; what an entry may list is bounded by MaxSize only.
 const (
-	MaxServices    = 20_000
+	MaxServices    = 100_000
 	MaxRoutes      = 60_000
 	MaxNameBytes   = 128
 	MaxHostBytes   = 253
@@ -23,8 +24,7 @@
 	MaxPriority    = 1_000
 	MaxAttempts    = 16
 	MaxWeight      = 1_000_000
-	MaxTenants     = 20_000
-	MaxKeys        = 64
+	MaxTenants     = 100_000
 	MaxRate        = 1_000_000_000
 	// MaxTimeout limits all durations of routes and caller limits.
 	MaxTimeout = Duration(time.Hour)
--- a/qhconfig/tenant.go
+++ b/qhconfig/tenant.go
@@ -82,7 +82,6 @@
 		}
 		c.setEntry("tenant", string(tenant.Name))
 		c.checkName("tenant", string(tenant.Name))
-		c.checkCount("keys", len(tenant.Keys), MaxKeys)
 		c.checkRange("priority", int64(tenant.Priority), MaxPriority)
 		c.checkRange("burst", int64(tenant.Burst), MaxRate)
 		if tenant.Rate < 0 || tenant.Rate > MaxRate {
