qhfeed: The goroutine of a watch does not read the source that the watch changes

Cause: since a watch records in its source how long it was held, while the goroutine that ends it asks the source whether it is the store, which copies all of it. Found by the race detector in 3 of 3 runs of TestVersionIsInForceInTimeAfterSeveralDisruptions; the copied field is not used, so that nothing else is wrong.

Change: the watch asks before it starts the goroutine.

--- a/qhfeed/watcher.go
+++ b/qhfeed/watcher.go
@@ -470,8 +470,8 @@
 		respondedAt.Store(int64(w.feed.Proof.Now()))
 		w.lastBytes.Store(respondedAt.Load())
 	}})
-	late := make(<-chan time.Time)
-	if source.isStore() {
+	late, fromStore := make(<-chan time.Time), source.isStore()
+	if fromStore {
 		timer := time.NewTimer(wait + w.grace.allowed())
 		defer timer.Stop()
 		late = timer.C
@@ -496,7 +496,7 @@
 		case <-stop:
 			return
 		}
-		if respondedAt.Load() != 0 && !source.isStore() {
+		if respondedAt.Load() != 0 && !fromStore {
 			return // the response of a reader is short, and bounded by the timeout of the request
 		}
 		for arriving := w.untilStalled(); arriving > 0; arriving = w.untilStalled() {
