--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -104,7 +104,7 @@
 	silentConnections *metrics.Counter
 	// invalidEntries counts the entries in the store that another writer has written.
 	invalidEntries *metrics.Counter
-	arrivals          arrivalMetrics
+	arrivals       arrivalMetrics
 	// reportedEra is the latest era of the store that another reader reported.
 	reportedEra atomic.Uint64
 	// reportedVersion is the newest version that was passed to ReportVersion and
--- a/qhfeed/watcher.go
+++ b/qhfeed/watcher.go
@@ -322,15 +322,7 @@
 			w.recordFailure(ctx, source, err)
 			continue
 		}
-		w.recordResponse(source)
-		w.setPosition(w.position.advance(next))
-		w.cache.add(changes.Objects, w.position)
-		w.recordKnowledge(source)
-		if !source.isStore() && w.feed.isFar(source.reader) && w.isStale(farReaderShare) {
-			w.feed.skipReader(source.reader.Node, w, errNotServing)
-		}
-		w.applyChanges(source, changes)
-		w.confirm(source)
+		w.takeChanges(source, changes)
 		if len(changes.Objects) > 0 {
 			pause := time.Duration(w.pause.Load())
 			w.pauseEnd.Store(int64(w.feed.Proof.Now().Add(pause)))
@@ -340,6 +332,19 @@
 	return false
 }
 
+// takeChanges records the response of a source and applies its changes.
+func (w *watcher) takeChanges(source watchSource, changes qhplatform.Changes) {
+	w.recordResponse(source)
+	w.setPosition(w.position.advance(position{era: changes.Era, revision: changes.Revision}))
+	w.cache.add(changes.Objects, w.position)
+	w.recordKnowledge(source)
+	if !source.isStore() && w.feed.isFar(source.reader) && w.isStale(farReaderShare) {
+		w.feed.skipReader(source.reader.Node, w, errNotServing) // it knows no more than this node
+	}
+	w.applyChanges(source, changes)
+	w.confirm(source)
+}
+
 // continues reports whether a watch that ended with err is continued at once: one that
 // was restarted, that another source replaces, or whose connection was silent for the
 // first time.
@@ -470,13 +475,13 @@
 		respondedAt.Store(int64(w.feed.Proof.Now()))
 		w.lastBytes.Store(respondedAt.Load())
 	}})
-	late, fromStore := make(<-chan time.Time), source.isStore()
+	var late, stale <-chan time.Time
+	fromStore := source.isStore()
 	if fromStore {
 		timer := time.NewTimer(wait + w.grace.allowed())
 		defer timer.Stop()
 		late = timer.C
 	}
-	stale := make(<-chan time.Time)
 	if until := w.untilStale(*source); until > 0 {
 		timer := time.NewTimer(until)
 		defer timer.Stop()
@@ -496,17 +501,10 @@
 		case <-stop:
 			return
 		}
-		if respondedAt.Load() != 0 && !fromStore {
-			return // the response of a reader is short, and bounded by the timeout of the request
-		}
-		for arriving := w.untilStalled(); arriving > 0; arriving = w.untilStalled() {
-			select {
-			case <-time.After(arriving):
-			case <-stop:
-				return
-			}
+		// The response of a reader is short, and bounded by the timeout of the request.
+		if (fromStore || respondedAt.Load() == 0) && w.awaitStall(stop) {
+			cancel(cause)
 		}
-		cancel(cause)
 	})
 	changes, err := w.watchOnce(ctx, *source, w.position, wait)
 	if responded := qhclock.Instant(respondedAt.Load()); responded != 0 {
@@ -520,6 +518,19 @@
 	return changes, err
 }
 
+// awaitStall waits until no response of the store arrives any more. It returns false if stop
+// is closed before.
+func (w *watcher) awaitStall(stop <-chan struct{}) bool {
+	for arriving := w.untilStalled(); arriving > 0; arriving = w.untilStalled() {
+		select {
+		case <-time.After(arriving):
+		case <-stop:
+			return false
+		}
+	}
+	return true
+}
+
 // nextWait returns how long the source should hold the next watch: only as long as the
 // last response does not get too old, and of the store what this node knows.
 func (w *watcher) nextWait(source watchSource) time.Duration {
