qhconfig, platform: An empty list of tenants still requires keys

Cause: whether keys are required was derived from the number of tenants. Empty and absent were one value in the types, in JSON, in the digest and in a diff.

Ruled out: a fix in authenticate alone, since a diff between versions takes an empty list for none.

A list whose only tenant is left out closes too. Of two routes that match the same calls, both must be anonymous for the one that stays to be.

--- a/qhconfig/config.go
+++ b/qhconfig/config.go
@@ -15,8 +15,10 @@
 	Services []Service `json:"services"`
 	// Routes are sorted by name without duplicates.
 	Routes []Route `json:"routes"`
-	// Tenants are sorted by name without duplicates. If there are any, calls of
-	// routes that are not anonymous need a key of one of them.
+	// Keyed is set if calls of routes that are not anonymous need a key of a tenant, also
+	// if there are no tenants. See RequiresKeys.
+	Keyed bool `json:"keyed,omitempty"`
+	// Tenants are sorted by name without duplicates.
 	Tenants []Tenant `json:"tenants,omitempty"`
 	// Limits are the operators' limits for all callers. Nodes enforce that on
 	// bodies; for the others their own settings (qhsetting.Calls) and fixed
--- a/qhconfig/diff.go
+++ b/qhconfig/diff.go
@@ -24,6 +24,8 @@
 	RemovedServices []qhid.Service `json:"noservices,omitempty"`
 	// RemovedRoutes are sorted.
 	RemovedRoutes []qhid.Route `json:"noroutes,omitempty"`
+	// Keyed is the new value of Config.Keyed; nil if it did not change.
+	Keyed *bool `json:"keyed,omitempty"`
 	// Tenants are the added and changed tenants, sorted by name.
 	Tenants []Tenant `json:"tenants,omitempty"`
 	// RemovedTenants are sorted.
@@ -34,7 +36,7 @@
 
 // Empty reports whether the diff changes nothing.
 func (d Diff) Empty() bool {
-	return len(d.Services)+len(d.Routes)+len(d.RemovedServices)+len(d.RemovedRoutes)+len(d.Tenants)+len(d.RemovedTenants) == 0 && d.Limits == nil
+	return len(d.Services)+len(d.Routes)+len(d.RemovedServices)+len(d.RemovedRoutes)+len(d.Tenants)+len(d.RemovedTenants) == 0 && d.Keyed == nil && d.Limits == nil
 }
 
 // Compare returns the diff from base to next. Both must be in canonical order.
@@ -47,6 +49,9 @@
 		func(r *Route) qhid.Route { return r.Name }, (*Route).Equal)
 	diff.Tenants, diff.RemovedTenants = compare(base.Tenants, next.Tenants,
 		func(t *Tenant) qhid.Tenant { return t.Name }, (*Tenant).Equal)
+	if base.RequiresKeys() != next.RequiresKeys() {
+		diff.Keyed = new(next.RequiresKeys())
+	}
 	if base.Limits != next.Limits {
 		diff.Limits = &next.Limits
 	}
@@ -98,6 +103,7 @@
 // modified afterwards.
 func (d Diff) Merge(base Config) Config {
 	next := Config{
+		Keyed:    base.RequiresKeys(),
 		Limits:   base.Limits,
 		Services: merge(base.Services, d.Services, d.RemovedServices, func(s *Service) qhid.Service { return s.Name }),
 		Routes:   merge(base.Routes, d.Routes, d.RemovedRoutes, func(r *Route) qhid.Route { return r.Name }),
@@ -108,6 +114,9 @@
 	if len(next.Tenants) == 0 {
 		next.Tenants = nil // as decoded from a configuration without any
 	}
+	if d.Keyed != nil {
+		next.Keyed = *d.Keyed
+	}
 	if d.Limits != nil {
 		next.Limits = *d.Limits
 	}
--- a/qhconfig/diff_test.go
+++ b/qhconfig/diff_test.go
@@ -72,3 +72,67 @@
 		Expect(base.Digest()).To(Equal(before))
 	})
 })
+
+var _ = Describe("A configuration that requires keys", func() {
+	none := qhsample.ConfigOfSize(2)
+	empty := none
+	empty.Keyed = true
+	some := empty
+	some.Tenants = []qhconfig.Tenant{{Name: "one", Keys: []qhconfig.KeyDigest{qhconfig.DigestKey("key")}}}
+
+	// Guards against an empty list of tenants that is taken for none.
+	DescribeTable("keeps that in a diff, in its digest and in JSON", func(base, next qhconfig.Config) {
+		wire, err := json.Marshal(qhconfig.Compare(base.Canonical(), next.Canonical()))
+		Expect(err).NotTo(HaveOccurred())
+		diff, err := qhconfig.Decode[qhconfig.Diff](wire)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(diff.Empty()).To(Equal(base.RequiresKeys() == next.RequiresKeys() && len(base.Tenants) == len(next.Tenants)))
+		result, err := diff.Apply(base.Canonical())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.RequiresKeys()).To(Equal(next.RequiresKeys()))
+		Expect(result.Tenants).To(HaveLen(len(next.Tenants)))
+		text, err := json.Marshal(result)
+		Expect(err).NotTo(HaveOccurred())
+		decoded, err := qhconfig.Decode[qhconfig.Config](text)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(decoded.RequiresKeys()).To(Equal(next.RequiresKeys()))
+		Expect(decoded.Digest()).To(Equal(next.Digest()))
+	},
+		Entry("from none to an empty list", none, empty),
+		Entry("from an empty list to none", empty, none),
+		Entry("from an empty list to a tenant", empty, some),
+		Entry("from a tenant to an empty list", some, empty),
+		Entry("from a tenant to none", some, none),
+		Entry("from none to a tenant", none, some),
+		Entry("from an empty list to the same", empty, empty),
+	)
+
+	It("has another digest than one that does not", func() {
+		Expect(empty.Digest()).NotTo(Equal(none.Digest()))
+		Expect(empty.Digest()).NotTo(Equal(some.Digest()))
+	})
+
+	It("still requires them if repair leaves all tenants out", func() {
+		unnamed := empty
+		unnamed.Tenants = []qhconfig.Tenant{{Name: "", Keys: some.Tenants[0].Keys}}
+		repaired, problems := unnamed.Repair()
+		Expect(problems).NotTo(BeEmpty())
+		Expect(repaired.Tenants).To(BeEmpty())
+		Expect(repaired.RequiresKeys()).To(BeTrue())
+	})
+
+	It("requires one for a route if either of two that match the same calls does", func() {
+		for _, anonymous := range [][]bool{{true, false}, {false, true}} {
+			config := empty
+			config.Routes = nil
+			for i, isAnonymous := range anonymous {
+				route := none.Routes[0]
+				route.Name, route.Anonymous = none.Routes[i].Name, isAnonymous
+				config.Routes = append(config.Routes, route)
+			}
+			repaired, _ := config.Repair()
+			Expect(repaired.Routes).To(HaveLen(1))
+			Expect(repaired.Routes[0].Anonymous).To(BeFalse())
+		}
+	})
+})
--- a/qhconfig/digest.go
+++ b/qhconfig/digest.go
@@ -12,8 +12,8 @@
 type entryHash [sha256.Size]byte
 
 // Digest returns the SHA-256 hash over the hashes of the services, a separator,
-// the hashes of the routes and, unless there are none, of the limits and, after another
-// separator, of the tenants, in order.
+// the hashes of the routes and, unless there are none, of the limits and, if the
+// configuration requires keys, another separator and the hashes of the tenants, in order.
 func (c Config) Digest() qhid.Digest {
 	var digester Digester
 	return digester.Digest(c)
@@ -46,7 +46,7 @@
 		_, _ = hash.Write(limits[:])
 	}
 	d.tenants = d.tenants.update(config.Tenants, func(t *Tenant) string { return string(t.Name) }, (*Tenant).Equal)
-	if len(d.tenants.hashes) > 0 {
+	if config.RequiresKeys() {
 		_, _ = hash.Write(separator[:])
 	}
 	for i := range d.tenants.hashes {
--- a/qhconfig/order.go
+++ b/qhconfig/order.go
@@ -27,7 +27,7 @@
 		tenants[i].Keys = sorted(tenants[i].Keys)
 	}
 	slices.SortFunc(tenants, func(a, b Tenant) int { return cmp.Compare(a.Name, b.Name) })
-	return Config{Services: services, Routes: routes, Tenants: tenants, Limits: c.Limits}
+	return Config{Services: services, Routes: routes, Keyed: c.RequiresKeys(), Tenants: tenants, Limits: c.Limits}
 }
 
 // sorted returns a sorted copy of values.
--- a/qhconfig/repair.go
+++ b/qhconfig/repair.go
@@ -21,6 +21,7 @@
 //     shorter prefix;
 //   - a key that two tenants have is not used;
 //   - a tenant with an allowance out of range is left without keys;
+//   - a configuration whose tenants are all left out still requires keys;
 //   - a route whose host or prefix cannot be matched, and a service without a
 //     valid name, are left out.
 func (c Config) Repair() (Config, []Problem) {
@@ -233,6 +234,7 @@
 	if first.Retry != second.Retry {
 		first.Retry = RetryNever
 	}
+	first.Anonymous = first.Anonymous && second.Anonymous
 	if !first.Unavailable && !slices.Equal(first.Shares, second.Shares) {
 		r.setEntry("route", string(first.Name))
 		r.makeUnavailable(first, fmt.Sprintf("route %q sends the same calls elsewhere", second.Name))
--- a/qhconfig/tenant.go
+++ b/qhconfig/tenant.go
@@ -54,6 +54,10 @@
 // Fingerprint returns a short form of the digest, by which operators tell keys apart.
 func (d KeyDigest) Fingerprint() string { return string(d[:min(len(d), keyFingerprintLength)]) }
 
+// RequiresKeys reports whether calls of routes that are not anonymous need a key of a
+// tenant. A configuration that has tenants always requires keys.
+func (c Config) RequiresKeys() bool { return c.Keyed || len(c.Tenants) > 0 }
+
 // FindTenant returns the tenant with the name, or nil. c must be in canonical order.
 func (c Config) FindTenant(name qhid.Tenant) *Tenant {
 	i, found := slices.BinarySearchFunc(c.Tenants, name, func(t Tenant, name qhid.Tenant) int {
--- a/qhhead/config_test.go
+++ b/qhhead/config_test.go
@@ -1,12 +1,17 @@
 package qhhead_test
 
 import (
+	"context"
 	"fmt"
 	"time"
 
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
 	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qhhead"
 	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhplatform"
 )
 
 // configOfSize returns a configuration with the given number of services and
@@ -42,3 +47,27 @@
 		Time: time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC),
 	}
 }
+
+var _ = Describe("A version that requires keys", func() {
+	It("is loaded as such, whole and by its changes, with tenants and without", func() {
+		ctx := context.Background()
+		store := qhplatform.NewFake(qhplatform.FakeOptions{}).Store()
+		writer, follower := qhhead.NewWithSmallParts(qhhead.Options{Store: store}), qhhead.NewWithSmallParts(qhhead.Options{Store: store})
+		var head qhhead.Head
+		for i, keyed := range []bool{false, true, true, false} {
+			config := configOfSize(40)
+			if config.Keyed = keyed; i == 2 {
+				config.Tenants = []qhconfig.Tenant{{Name: "one"}}
+			}
+			var err error
+			head, err = writer.Commit(ctx, change(head, qhid.Plan(fmt.Sprint("p", i)), config))
+			Expect(err).NotTo(HaveOccurred())
+			for _, reader := range []*qhhead.Chain{follower, qhhead.NewWithSmallParts(qhhead.Options{Store: store})} {
+				loaded, _, err := reader.Load(ctx, head)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(loaded.RequiresKeys()).To(Equal(keyed))
+				Expect(loaded.Digest()).To(Equal(config.Digest()))
+			}
+		}
+	})
+})
--- a/qhhead/part.go
+++ b/qhhead/part.go
@@ -30,6 +30,8 @@
 	Services []qhconfig.Service `json:"services,omitempty"`
 	Routes   []qhconfig.Route   `json:"routes,omitempty"`
 	Tenants  []qhconfig.Tenant  `json:"tenants,omitempty"`
+	// Keyed is set in the first part only.
+	Keyed bool `json:"keyed,omitempty"`
 	// Limits is set in the first part only.
 	Limits qhconfig.CallerLimits `json:"limits,omitzero"`
 }
@@ -82,7 +84,7 @@
 		p := &parts[bucket(string(service.Name), buckets)]
 		p.Services = append(p.Services, service)
 	}
-	parts[0].Limits = config.Limits
+	parts[0].Keyed, parts[0].Limits = config.Keyed, config.Limits
 	for _, route := range config.Routes {
 		p := &parts[bucket(string(route.Name), buckets)]
 		p.Routes = append(p.Routes, route)
@@ -115,6 +117,7 @@
 		config.Services = append(config.Services, p.Services...)
 		config.Routes = append(config.Routes, p.Routes...)
 		config.Tenants = append(config.Tenants, p.Tenants...)
+		config.Keyed = config.Keyed || p.Keyed
 		if p.Limits != (qhconfig.CallerLimits{}) {
 			config.Limits = p.Limits
 		}
--- a/qhproxy/tenant.go
+++ b/qhproxy/tenant.go
@@ -34,10 +34,10 @@
 	errKeyUnknown = errors.New("the target's node does not know the key")       //nolint:gochecknoglobals // a sentinel
 )
 
-// authenticate finds the tenant of the call, and removes its credentials. Without
-// tenants in the configuration it does nothing.
+// authenticate finds the tenant of the call, and removes its credentials. If the
+// configuration requires no keys, it does nothing.
 func (c *call) authenticate() *failure {
-	if len(c.snapshot.Config.Tenants) == 0 {
+	if !c.snapshot.Config.RequiresKeys() {
 		return nil
 	}
 	credentials := c.request.Header[headerAuthorization]
--- a/qhsample/sample.go
+++ b/qhsample/sample.go
@@ -23,9 +23,23 @@
 	for _, i := range drawIndexes(t, label+" routes", 0) {
 		config.Routes = append(config.Routes, drawRoute(t, i, config.Services))
 	}
+	if config.Keyed = rapid.Bool().Draw(t, "keyed"); config.Keyed {
+		for _, i := range drawIndexes(t, label+" tenants", 0) {
+			config.Tenants = append(config.Tenants, drawTenant(t, i))
+		}
+	}
 	return config.Canonical()
 }
 
+// drawTenant draws a tenant with keys that no other one has.
+func drawTenant(t *rapid.T, number int) qhconfig.Tenant {
+	tenant := qhconfig.Tenant{Name: qhid.Tenant(fmt.Sprintf("tenant-%d", number)), Priority: rapid.IntRange(0, 2).Draw(t, "priority")}
+	for i := range rapid.IntRange(0, 2).Draw(t, "keys") {
+		tenant.Keys = append(tenant.Keys, qhconfig.DigestKey(fmt.Sprintf("key-%d-%d", number, i)))
+	}
+	return tenant
+}
+
 // ConfigOfSize returns a configuration with the given number of services and
 // one route for each.
 func ConfigOfSize(services int) qhconfig.Config {
