--- a/qhconfig/check.go
+++ b/qhconfig/check.go
@@ -24,10 +24,17 @@
 // String returns location, message and remedy on one line.
 func (p Problem) String() string { return p.Location + ": " + p.Message + "; " + p.Remedy }
 
-// Check validates the configuration. The error is of kind Refused and lists the
-// first problems with their remedies.
-func (c Config) Check() error {
-	problems := c.Problems()
+// Check validates the configuration by the rules for plans. The error is of kind Refused and
+// lists the first problems with their remedies.
+func (c Config) Check() error { return problemsError(c.Problems()) }
+
+// CheckUsable validates the configuration by the rules that nodes need: it allows each
+// name, host and prefix that can occur in a request, and any number of shares.
+func (c Config) CheckUsable() error {
+	return problemsError(c.problems(&checker{usable: true}))
+}
+
+func problemsError(problems []Problem) error {
 	switch len(problems) {
 	case 0:
 		return nil
@@ -41,10 +48,12 @@
 	return qherr.New(qherr.Refused, nil, "correct each of them", "the configuration has %d problems:%s", len(problems), text.String())
 }
 
-// Problems returns all validation failures of the configuration. If it exceeds a
+// Problems returns all validation failures of the configuration by the rules for plans. If it exceeds a
 // size limit, these are the only problems returned.
-func (c Config) Problems() []Problem {
-	check := &checker{services: make(map[qhid.Service]bool, len(c.Services))}
+func (c Config) Problems() []Problem { return c.problems(&checker{}) }
+
+func (c Config) problems(check *checker) []Problem {
+	check.services = make(map[qhid.Service]bool, len(c.Services))
 	check.checkCount("services", len(c.Services), MaxServices)
 	check.checkCount("routes", len(c.Routes), MaxRoutes)
 	check.checkCount("bytes", int(c.approximateSize()), int(MaxSize))
--- a/qhconfig/checker.go
+++ b/qhconfig/checker.go
@@ -16,6 +16,8 @@
 	kind, name string
 	// services holds the names that routes may refer to.
 	services map[qhid.Service]bool
+	// usable selects the rules of CheckUsable.
+	usable bool
 }
 
 // setEntry sets the entry that the next problems are reported for.
@@ -54,6 +56,12 @@
 }
 
 func (c *checker) checkName(kind, name string) {
+	if c.usable {
+		if !isUsableName(name) {
+			c.addProblem(remedyUsableName(), "%q is not a usable %s name", truncate(name), kind)
+		}
+		return
+	}
 	if isValidName(name) {
 		return
 	}
@@ -89,6 +97,12 @@
 }
 
 func (c *checker) checkHost(host string) {
+	if c.usable {
+		if len(host) > MaxUsablePathBytes || strings.ContainsFunc(host, isInvalidInHostHeader) {
+			c.addProblem(`write the host as callers send it, as in "booking.example"`, "host %q is in no request", truncate(host))
+		}
+		return
+	}
 	if host != "" && (len(host) > MaxHostBytes || strings.ContainsFunc(host, isInvalidInHost)) {
 		c.addProblem(`write the host without scheme and port, as in "booking.example"`, "host %q is not a valid host name", truncate(host))
 	}
@@ -99,15 +113,22 @@
 	switch {
 	case !strings.HasPrefix(prefix, "/"):
 		c.addProblem(remedy, "prefix %q does not start with a slash", truncate(prefix))
-	case len(prefix) > MaxPrefixBytes:
-		c.addProblem(fmt.Sprintf("use at most %d bytes", MaxPrefixBytes), "prefix %q has %d bytes", truncate(prefix), len(prefix))
-	case strings.ContainsAny(prefix, "?# ") || strings.Contains(prefix, "//"):
+	case len(prefix) > c.maxPrefixBytes():
+		c.addProblem(fmt.Sprintf("use at most %d bytes", c.maxPrefixBytes()), "prefix %q has %d bytes", truncate(prefix), len(prefix))
+	case strings.ContainsAny(prefix, "?# ") || !c.usable && strings.Contains(prefix, "//"):
 		c.addProblem(remedy, "prefix %q contains a space, a query, a fragment or an empty segment", truncate(prefix))
 	case hasDotSegment(prefix):
 		c.addProblem(remedy, "prefix %q contains a . or .. segment", truncate(prefix))
 	}
 }
 
+func (c *checker) maxPrefixBytes() int {
+	if c.usable {
+		return MaxUsablePathBytes
+	}
+	return MaxPrefixBytes
+}
+
 func (c *checker) checkMethods(methods []string) {
 	c.checkCount("methods", len(methods), MaxMethods)
 	for _, method := range methods {
@@ -119,7 +140,9 @@
 }
 
 func (c *checker) checkShares(shares []Share) {
-	c.checkCount("shares", len(shares), MaxShares)
+	if !c.usable {
+		c.checkCount("shares", len(shares), MaxShares)
+	}
 	if slices.ContainsFunc(shares, func(s Share) bool { return s.Weight != 0 }) {
 		c.checkWeights(shares)
 		return
--- a/qhconfig/limit.go
+++ b/qhconfig/limit.go
@@ -8,7 +8,8 @@
 
 // The limits of one configuration. They keep every entry far below the maximum
 // size of a value on the platform. No list of the users' platform can exceed its limit in
-// a value of that size; what an entry may list is bounded by MaxSize only.
+// a value of that size; what an entry may list is bounded by MaxSize only. MaxNameBytes,
+// MaxHostBytes, MaxPrefixBytes and MaxShares are not limits of CheckUsable.
 const (
 	MaxServices    = 100_000
 	MaxRoutes      = 60_000
@@ -35,6 +36,12 @@
 	// paths with an overhead for each entry. Two versions of that size fit well
 	// within the memory of a node.
 	MaxSize qhid.Bytes = 16 << 20
+	// MaxUsableNameBytes bounds a name in CheckUsable. Nodes send names to each other and to
+	// targets in headers, which have to stay below the limit of a request's headers.
+	MaxUsableNameBytes = 1 << 10
+	// MaxUsablePathBytes bounds a host or a prefix in CheckUsable. Nodes read no longer
+	// request head.
+	MaxUsablePathBytes = 64 << 10
 	// TotalPercent is the sum of the percentages of a route's shares.
 	TotalPercent qhid.Percent = 100
 )
--- a/qhconfig/repair.go
+++ b/qhconfig/repair.go
@@ -9,23 +9,26 @@
 	"quetzalhaven.dev/qhid"
 )
 
-// Repair returns a copy of the configuration that passes Check unless it exceeds
+// Repair returns a copy of the configuration that passes CheckUsable unless it exceeds
 // a size limit, and the problems that it found. Of an invalid entry it keeps what
 // cannot make a call go where the configuration does not send it, or run twice:
 //
 //   - an unknown retry policy becomes RetryNever;
-//   - a limit or duration out of range is unset;
+//   - a negative limit or duration is unset; one that is too high is lowered, except for
+//     slots, queues and attempts, which are unset too;
 //   - a service that a route names but the configuration does not list is added;
 //   - a route without a usable destination, or with the host, prefix and method of
 //     another one, becomes unavailable, so that its calls are refused and match no
 //     shorter prefix;
 //   - a key that two tenants have is not used;
-//   - a tenant with an allowance out of range is left without keys;
+//   - a tenant with a negative allowance, or a name that no header can carry, becomes
+//     unavailable, so that its calls are refused;
+//   - tenants of one name become one, with the stricter of their limits;
 //   - a configuration whose tenants are all left out still requires keys;
 //   - a route whose host or prefix cannot be matched, and a service without a
 //     valid name, are left out.
 func (c Config) Repair() (Config, []Problem) {
-	r := &repairer{}
+	r := &repairer{checker{usable: true}}
 	repaired := c.Canonical()
 	repaired.Services = r.repairServices(repaired.Services)
 	repaired.Routes = r.repairRoutes(repaired.Routes)
@@ -43,7 +46,7 @@
 	for i := range services {
 		service := services[i]
 		r.setEntry("service", string(service.Name))
-		if !isValidName(string(service.Name)) {
+		if !isUsableName(string(service.Name)) {
 			r.addProblem("give it a valid name", "the service is left out, because its name is not valid")
 			continue
 		}
@@ -53,8 +56,8 @@
 		}
 		unsetOutOfRange(r, "slots", &service.Slots, MaxSlots)
 		unsetOutOfRange(r, "queue", &service.MaxQueue, MaxQueue)
-		unsetOutOfRange(r, "connections", &service.MaxConnections, MaxConnections)
-		service.Retired = slices.DeleteFunc(slices.Compact(service.Retired), func(target qhid.Target) bool { return !isValidName(string(target)) })
+		lowerOutOfRange(r, "connections", &service.MaxConnections, MaxConnections)
+		service.Retired = slices.DeleteFunc(slices.Compact(service.Retired), func(target qhid.Target) bool { return !isUsableName(string(target)) })
 		kept = append(kept, service)
 	}
 	return kept
@@ -69,6 +72,15 @@
 	*value = 0
 }
 
+// lowerOutOfRange sets a value above the limit to the limit, and a negative one to 0.
+func lowerOutOfRange[T ~int | ~int64](r *repairer, field string, value *T, limit T) {
+	if *value > limit {
+		r.addProblem(fmt.Sprintf("set it between 0 and %v", limit), "%s %v is out of range and taken as %v", field, *value, limit)
+		*value = limit
+	}
+	unsetOutOfRange(r, field, value, limit)
+}
+
 func (r *repairer) repairRoutes(routes []Route) []Route {
 	kept := routes[:0]
 	names := make(map[qhid.Route]bool, len(routes))
@@ -90,7 +102,7 @@
 // canMatch reports whether the host and the prefix of the route are valid and not
 // both left out.
 func (r *repairer) canMatch(route *Route) bool {
-	check := &checker{}
+	check := &checker{usable: true}
 	check.checkHost(route.Host)
 	check.checkPrefix(route.Prefix)
 	if len(check.problems) > 0 {
@@ -103,10 +115,10 @@
 // repairName gives the route a valid name that no earlier route has.
 func (r *repairer) repairName(route *Route, names map[qhid.Route]bool) {
 	base := route.Name
-	if !isValidName(string(base)) {
+	if !isUsableName(string(base)) {
 		base = "unnamed"
 	}
-	for n := 2; names[route.Name] || !isValidName(string(route.Name)); n++ {
+	for n := 2; names[route.Name] || !isUsableName(string(route.Name)); n++ {
 		route.Name = qhid.Route(fmt.Sprintf("%.100s.%d", base, n))
 	}
 	if route.Name != base {
@@ -142,7 +154,7 @@
 	var shares []Share
 	for _, share := range route.Shares {
 		total += share.Percent
-		if !isValidName(string(share.Service)) {
+		if !isUsableName(string(share.Service)) {
 			r.makeUnavailable(route, fmt.Sprintf("%q is not a valid service name", truncate(string(share.Service))))
 			return
 		}
@@ -156,8 +168,8 @@
 			shares = append(shares, share)
 		}
 	}
-	if len(shares) == 0 || len(shares) > MaxShares {
-		r.makeUnavailable(route, fmt.Sprintf("it has %d shares", len(shares)))
+	if len(shares) == 0 {
+		r.makeUnavailable(route, "it has no shares")
 		return
 	}
 	if total != TotalPercent {
@@ -192,13 +204,13 @@
 		r.addProblem(`use a known policy`, "repeat %q is unknown; its calls are executed at most once", truncate(string(route.Retry)))
 		route.Retry = RetryNever
 	}
-	unsetOutOfRange(r, "timeout", &route.Timeout, MaxTimeout)
-	unsetOutOfRange(r, "silence", &route.FirstByteTimeout, MaxTimeout)
+	lowerOutOfRange(r, "timeout", &route.Timeout, MaxTimeout)
+	lowerOutOfRange(r, "silence", &route.FirstByteTimeout, MaxTimeout)
 	if route.Timeout > 0 && route.FirstByteTimeout > route.Timeout {
 		route.FirstByteTimeout = route.Timeout
 	}
-	unsetOutOfRange(r, "objective", &route.LatencyObjective, MaxTimeout)
-	unsetOutOfRange(r, "body", &route.MaxBodyBytes, MaxBody)
+	lowerOutOfRange(r, "objective", &route.LatencyObjective, MaxTimeout)
+	lowerOutOfRange(r, "body", &route.MaxBodyBytes, MaxBody)
 	unsetOutOfRange(r, "attempts", &route.MaxAttempts, MaxAttempts)
 	if priority := min(max(route.Priority, 0), MaxPriority); priority != route.Priority {
 		r.addProblem(fmt.Sprintf("set it between 0 and %d", MaxPriority), "priority %d is out of range and taken as %d", route.Priority, priority)
@@ -264,8 +276,8 @@
 
 func (r *repairer) repairLimits(limits *CallerLimits) {
 	r.setEntry("", "")
-	unsetOutOfRange(r, "limits.headers", &limits.MaxHeaderBytes, MaxBody)
-	unsetOutOfRange(r, "limits.body", &limits.MaxBodyBytes, MaxBody)
-	unsetOutOfRange(r, "limits.header", &limits.HeaderTimeout, MaxTimeout)
-	unsetOutOfRange(r, "limits.idle", &limits.IdleTimeout, MaxTimeout)
+	lowerOutOfRange(r, "limits.headers", &limits.MaxHeaderBytes, MaxBody)
+	lowerOutOfRange(r, "limits.body", &limits.MaxBodyBytes, MaxBody)
+	lowerOutOfRange(r, "limits.header", &limits.HeaderTimeout, MaxTimeout)
+	lowerOutOfRange(r, "limits.idle", &limits.IdleTimeout, MaxTimeout)
 }
--- a/qhconfig/tenant.go
+++ b/qhconfig/tenant.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/base64"
+	"fmt"
 	"slices"
 
 	"quetzalhaven.dev/qhid"
@@ -21,11 +22,13 @@
 	// tenant, and Burst the number of calls beyond that; a rate of 0 sets no limit.
 	Rate  qhid.CallsPerSecond `json:"rate,omitempty"`
 	Burst int                 `json:"burst,omitempty"`
+	// Unavailable makes nodes refuse the calls of the tenant as not executed.
+	Unavailable bool `json:"unavailable,omitempty"`
 }
 
 // Equal reports whether two tenants are equal in all fields.
 func (t *Tenant) Equal(other *Tenant) bool {
-	return t.Name == other.Name && slices.Equal(t.Keys, other.Keys) && t.Priority == other.Priority && t.Rate == other.Rate && t.Burst == other.Burst
+	return t.Name == other.Name && slices.Equal(t.Keys, other.Keys) && t.Priority == other.Priority && t.Rate == other.Rate && t.Burst == other.Burst && t.Unavailable == other.Unavailable
 }
 
 // KeyDigest is the digest of a key, by which it is looked up: the time of a look-up
@@ -104,25 +107,71 @@
 	}
 }
 
-// repairTenants leaves out tenants without a valid name and keys that more than one
-// tenant has, since nobody can tell whose calls they are. A limit out of range stops the
-// tenant's calls, except for the most urgent priority, which it does not get.
+// repairTenants joins tenants of one name and takes keys away that several tenants have,
+// since nobody can tell whose calls they are. A tenant whose name cannot be passed on or
+// whose allowance is negative becomes unavailable.
 func (r *repairer) repairTenants(tenants []Tenant) []Tenant {
+	kept := tenants[:0]
+	for i := range tenants {
+		tenant := tenants[i]
+		tenant.Keys = slices.Compact(tenant.Keys)
+		r.setEntry("tenant", string(tenant.Name))
+		r.repairTenantLimits(&tenant)
+		if len(kept) > 0 && kept[len(kept)-1].Name == tenant.Name {
+			r.addProblem("write one of them", "the name is used twice; they are one tenant, with the stricter limits")
+			kept[len(kept)-1].join(&tenant)
+			continue
+		}
+		kept = append(kept, tenant)
+	}
+	r.takeSharedKeys(kept)
+	r.repairTenantNames(kept)
+	return kept
+}
+
+// repairTenantLimits lowers what is too high, and makes the tenant unavailable if an
+// allowance is negative.
+func (r *repairer) repairTenantLimits(tenant *Tenant) {
+	if priority := min(max(tenant.Priority, 0), MaxPriority); priority != tenant.Priority {
+		r.addProblem("set it in range", "priority %d is out of range and taken as %d", tenant.Priority, priority)
+		tenant.Priority = priority
+	}
+	if !(tenant.Rate >= 0) || tenant.Burst < 0 {
+		r.addProblem("set them in range", "rate %v or burst %d is out of range; the tenant's calls are refused", tenant.Rate, tenant.Burst)
+		tenant.Rate, tenant.Burst, tenant.Unavailable = 0, 0, true
+	}
+	if tenant.Rate > MaxRate || tenant.Burst > MaxRate {
+		r.addProblem("set them in range", "rate %v or burst %d is out of range and taken as %d", tenant.Rate, tenant.Burst, MaxRate)
+		tenant.Rate, tenant.Burst = min(tenant.Rate, MaxRate), min(tenant.Burst, MaxRate)
+	}
+}
+
+// join adds the keys of another entry of the tenant and keeps the stricter limits.
+func (t *Tenant) join(other *Tenant) {
+	t.Keys = slices.Concat(t.Keys, other.Keys)
+	slices.Sort(t.Keys)
+	t.Keys = slices.Compact(t.Keys)
+	t.Priority = max(t.Priority, other.Priority)
+	t.Unavailable = t.Unavailable || other.Unavailable
+	switch {
+	case t.Rate == 0:
+		t.Rate, t.Burst = other.Rate, other.Burst
+	case other.Rate > 0:
+		t.Rate, t.Burst = min(t.Rate, other.Rate), min(t.Burst, other.Burst)
+	}
+}
+
+// takeSharedKeys takes away keys that more than one tenant has.
+func (r *repairer) takeSharedKeys(tenants []Tenant) {
 	owners := make(map[KeyDigest]int)
 	for i := range tenants {
-		tenants[i].Keys = slices.Compact(tenants[i].Keys)
 		for _, key := range tenants[i].Keys {
 			owners[key]++
 		}
 	}
-	kept := tenants[:0]
 	for i := range tenants {
-		tenant := tenants[i]
+		tenant := &tenants[i]
 		r.setEntry("tenant", string(tenant.Name))
-		if !isValidName(string(tenant.Name)) || len(kept) > 0 && kept[len(kept)-1].Name == tenant.Name {
-			r.addProblem("give it a valid name of its own", "the tenant is left out, because its name is not valid or used twice")
-			continue
-		}
 		tenant.Keys = slices.DeleteFunc(tenant.Keys, func(key KeyDigest) bool {
 			if owners[key] > 1 || !key.isValid() {
 				r.addProblem("give each tenant keys of its own", "key %s is not used, because it is not valid or another tenant has it too", key.Fingerprint())
@@ -130,15 +179,27 @@
 			}
 			return false
 		})
-		if priority := min(max(tenant.Priority, 0), MaxPriority); priority != tenant.Priority {
-			r.addProblem("set it in range", "priority %d is out of range and taken as %d", tenant.Priority, priority)
-			tenant.Priority = priority
+	}
+}
+
+// repairTenantNames gives tenants whose names cannot be passed on other ones and makes them
+// unavailable.
+func (r *repairer) repairTenantNames(tenants []Tenant) {
+	names := make(map[qhid.Tenant]bool, len(tenants))
+	for i := range tenants {
+		names[tenants[i].Name] = true
+	}
+	for i := range tenants {
+		tenant := &tenants[i]
+		if isUsableName(string(tenant.Name)) {
+			continue
 		}
-		if !(tenant.Rate >= 0 && tenant.Rate <= MaxRate) || tenant.Burst < 0 || tenant.Burst > MaxRate {
-			r.addProblem("set them in range", "rate %v or burst %d is out of range; the tenant's calls are refused", tenant.Rate, tenant.Burst)
-			tenant.Rate, tenant.Burst, tenant.Keys = 0, 0, nil
+		r.setEntry("tenant", string(tenant.Name))
+		r.addProblem(remedyUsableName(), "the name cannot be passed on in a header; the tenant's calls are refused")
+		tenant.Unavailable = true
+		for n := 1; names[tenant.Name]; n++ {
+			tenant.Name = qhid.Tenant(fmt.Sprintf("unnamed.%d", n))
 		}
-		kept = append(kept, tenant)
+		names[tenant.Name] = true
 	}
-	return kept
 }
--- a/qhconfig/text.go
+++ b/qhconfig/text.go
@@ -1,8 +1,10 @@
 package qhconfig
 
 import (
+	"fmt"
 	"slices"
 	"strings"
+	"unicode"
 )
 
 // maxQuotedBytes limits how much of an invalid value an error message quotes.
@@ -13,6 +15,20 @@
 	return text != "" && len(text) <= MaxNameBytes && !strings.ContainsFunc(text, isInvalidInName) && !strings.ContainsAny(text[:1], "-_.")
 }
 
+// isUsableName reports whether text can be a name in a header, unchanged.
+func isUsableName(text string) bool {
+	return text != "" && len(text) <= MaxUsableNameBytes && strings.TrimSpace(text) == text && !strings.ContainsFunc(text, unicode.IsControl)
+}
+
+func remedyUsableName() string {
+	return fmt.Sprintf("use 1 to %d bytes without control characters and without spaces at either end", MaxUsableNameBytes)
+}
+
+// isInvalidInHostHeader reports whether r occurs in no Host header (RFC 9110, section 7.2).
+func isInvalidInHostHeader(r rune) bool {
+	return !isLetterOrDigit(r) && !strings.ContainsRune("!$%&'()*+,-.:;=[]_~", r)
+}
+
 func isInvalidInName(r rune) bool { return !isLetterOrDigit(r) && r != '-' && r != '_' && r != '.' }
 
 // isInvalidInHost reports whether r occurs in no host name or IPv4 address.
--- a/qhdecision/decision.go
+++ b/qhdecision/decision.go
@@ -46,6 +46,7 @@
 	Leaving             Reason = "leaving"           // the node or the target is leaving and accepts no new calls
 	Busy                Reason = "busy"              // the queue is full or its expected wait too long, or the node has too many calls
 	Unauthenticated     Reason = "unauthenticated"   // the call has no key of a tenant
+	TenantUnavailable   Reason = "tenant"            // the configuration of the tenant is not usable
 	NoProof             Reason = "no-proof"          // the node has no proof that its configuration is the newest, so that it may not use keys
 	KeyUnknown          Reason = "key-unknown"       // the target's node does not know the key, or no longer
 	OverQuota           Reason = "over-quota"        // the tenant has used up its allowance
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -110,8 +110,8 @@
 	// reportedVersion is the newest version that was passed to ReportVersion and
 	// that this node has received or is still waiting for.
 	reportedVersion atomic.Uint64
-	// configUnusable is set while the newest configuration could not be applied.
-	configUnusable atomic.Bool
+	// unusable says why the newest configuration could not be applied; nil if it was.
+	unusable atomic.Pointer[string]
 }
 
 // defaultConvergenceLimit is the time within which a new version has to be in force
@@ -142,6 +142,12 @@
 		invalidEntries:    options.Metrics.NewCounter("qh_invalid_entries_total"),
 		arrivals:          newArrivalMetrics(options.Metrics),
 	}
+	options.Metrics.NewGauge("qh_config_unusable", func() float64 {
+		if f.unusable.Load() != nil {
+			return 1
+		}
+		return 0
+	})
 	f.config = f.newWatcher("configuration", prefixOf(options.ConfigKey), f.applyConfigObjects)
 	f.config.maxWait, f.config.watchInterval = f.configMaxWait, configWatchInterval
 	f.config.isConfig, f.config.retryInterval = true, f.limitShare(retryShare)
@@ -229,14 +235,23 @@
 	if err == nil {
 		_, err = f.Holder.ApplyRepaired(version, config, problems)
 	}
-	f.configUnusable.Store(err != nil)
 	if err != nil {
+		f.unusable.Store(new(err.Error()))
 		f.Log.Error("cannot apply configuration", zap.String("from", source), zap.Uint64("version", uint64(version)), zap.Error(err))
 		return
 	}
+	f.unusable.Store(nil)
 	f.checkReady()
 }
 
+// Unusable says why the newest configuration is not in force; empty if it could be applied.
+func (f *Feed) Unusable() string {
+	if problem := f.unusable.Load(); problem != nil {
+		return *problem
+	}
+	return ""
+}
+
 // recordArrival records how a version reached this node: from which reader or peer, which
 // is empty for the store; as the last of how many objects; after how long without a response to this node's watch; how old
 // the sender's own knowledge was, 0 if it is not known; and how long applying took.
--- a/qhfeed/watcher.go
+++ b/qhfeed/watcher.go
@@ -365,7 +365,7 @@
 // confirm records that the configuration in force was the newest when the source was
 // asked, less the age of a reader's own proof.
 func (w *watcher) confirm(source watchSource) {
-	if !w.isConfig || w.feed.configUnusable.Load() {
+	if !w.isConfig || w.feed.unusable.Load() != nil {
 		return
 	}
 	if source.isStore() {
--- a/qhhold/holder.go
+++ b/qhhold/holder.go
@@ -100,12 +100,16 @@
 		err := qherr.New(qherr.Refused, nil, "request it from another peer", "version %d has digest %s, expected %s", version, computed, digest)
 		return false, h.refuse(version, "", err)
 	}
-	return h.validateAndSwap(version, config, digest, digester)
+	return h.validateAndSwap(version, config, digest, digester, qhconfig.Config.Check)
 }
 
 // ApplyWithoutDigest is Apply for a version whose digest the sender did not
 // provide.
 func (h *Holder) ApplyWithoutDigest(version qhid.Version, config qhconfig.Config) (bool, error) {
+	return h.applyWithoutDigest(version, config, qhconfig.Config.Check)
+}
+
+func (h *Holder) applyWithoutDigest(version qhid.Version, config qhconfig.Config, check func(qhconfig.Config) error) (bool, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	digester := h.digester
@@ -113,18 +117,19 @@
 	if newer, err := h.checkNewer(version, digest); !newer {
 		return false, err
 	}
-	return h.validateAndSwap(version, config, digest, digester)
+	return h.validateAndSwap(version, config, digest, digester, check)
 }
 
 // ApplyRepaired is ApplyWithoutDigest for a version that operators wrote without a
-// check of the product. An invalid configuration is repaired first, so that its
-// other parts are in force. problems are those found while it was decoded.
+// check of the product, by the rules of CheckUsable. An invalid configuration is repaired
+// first, so that its other parts are in force. problems are those found while it was
+// decoded.
 func (h *Holder) ApplyRepaired(version qhid.Version, config qhconfig.Config, problems []qhconfig.Problem) (bool, error) {
-	if config.Check() != nil {
+	if config.CheckUsable() != nil {
 		repaired, found := config.Repair()
 		config, problems = repaired, slices.Concat(problems, found)
 	}
-	applied, err := h.ApplyWithoutDigest(version, config)
+	applied, err := h.applyWithoutDigest(version, config, qhconfig.Config.CheckUsable)
 	if err == nil && len(problems) > 0 {
 		h.recordProblems(version, problems)
 	}
@@ -172,7 +177,7 @@
 		return false, qherr.New(qherr.Conflict, nil, "request the full configuration",
 			"the diff from version %d to %d results in digest %s, expected %s", diff.Base, diff.Next, computed, diff.Digest)
 	}
-	return h.validateAndSwap(diff.Next, config, diff.Digest, digester)
+	return h.validateAndSwap(diff.Next, config, diff.Digest, digester, qhconfig.Config.Check)
 }
 
 // currentConfig returns the current version and its configuration, or zero values
@@ -208,9 +213,9 @@
 	return true, nil
 }
 
-// validateAndSwap validates a new version and puts it in force.
-func (h *Holder) validateAndSwap(version qhid.Version, config qhconfig.Config, digest qhid.Digest, digester qhconfig.Digester) (bool, error) {
-	if err := config.Check(); err != nil {
+// validateAndSwap validates a new version by check and puts it in force.
+func (h *Holder) validateAndSwap(version qhid.Version, config qhconfig.Config, digest qhid.Digest, digester qhconfig.Digester, check func(qhconfig.Config) error) (bool, error) {
+	if err := check(config); err != nil {
 		return false, h.refuse(version, digest, err)
 	}
 	previous := h.Version()
--- a/qhkey/bearer.go
+++ b/qhkey/bearer.go
@@ -36,6 +36,9 @@
 	}
 }
 
+// IsUsable reports whether a caller can send the key.
+func IsUsable(key string) bool { return key != "" && len(key) <= maxKeyLength && isToken68(key) }
+
 // FromAuthorization returns the key in the Authorization headers of a request, or the
 // problem with them.
 func FromAuthorization(values []string) (string, Problem) {
@@ -51,7 +54,7 @@
 		return "", NotBearer
 	}
 	key = strings.Trim(key, " ")
-	if key == "" || len(key) > maxKeyLength || !isToken68(key) {
+	if !IsUsable(key) {
 		return "", Malformed
 	}
 	return key, ""
--- a/qhnode/qhserve/dump.go
+++ b/qhnode/qhserve/dump.go
@@ -49,6 +49,9 @@
 	Services int                `json:"services"`
 	Routes   int                `json:"routes"`
 	Refusals []qhstatus.Refusal `json:"refusals,omitempty"`
+	// Unusable says why the newest configuration of the store could not be applied; empty
+	// if it was.
+	Unusable string `json:"unusable,omitempty"`
 	// Problems are those of the configuration as it was received. Its invalid
 	// parts are left out or restricted.
 	Problems []qhconfig.Problem `json:"problems,omitempty"`
@@ -129,7 +132,7 @@
 }
 
 func (n *Node) configInForce() ConfigInForce {
-	inForce := ConfigInForce{Refusals: n.holder.Refusals()}
+	inForce := ConfigInForce{Refusals: n.holder.Refusals(), Unusable: n.source.unusable()}
 	if snapshot := n.holder.Current(); snapshot != nil {
 		inForce.Version = snapshot.Version
 		inForce.Digest = snapshot.Digest
--- a/qhnode/qhserve/source.go
+++ b/qhnode/qhserve/source.go
@@ -49,6 +49,9 @@
 	leave    func(ctx context.Context)
 	summary  func() qhstatus.Summary
 	state    func() qhspread.State
+	// unusable says why the newest configuration is not in force; empty if it could be
+	// applied.
+	unusable func() string
 	// peers handles HTTP requests of other nodes; nil if the source serves the
 	// peers' listener itself.
 	peers http.Handler
@@ -83,6 +86,7 @@
 		leave:    spreader.Leave,
 		summary:  spreader.Summary,
 		state:    spreader.State,
+		unusable: func() string { return "" }, // Dump has the refusals
 	}, stop, nil
 }
 
@@ -113,10 +117,11 @@
 				n.group.Go(feed.Leave)
 			}
 		},
-		leave:   feed.Leave,
-		summary: func() qhstatus.Summary { return qhstatus.Summary{} },
-		state:   func() qhspread.State { return qhspread.State{} },
-		peers:   n.withCrashes(n.withQuota(n.withRollouts(feed.Handler()))),
+		leave:    feed.Leave,
+		summary:  func() qhstatus.Summary { return qhstatus.Summary{} },
+		state:    func() qhspread.State { return qhspread.State{} },
+		unusable: feed.Unusable,
+		peers:    n.withCrashes(n.withQuota(n.withRollouts(feed.Handler()))),
 	}, stop
 }
 
--- a/qhproxy/crash.go
+++ b/qhproxy/crash.go
@@ -8,6 +8,7 @@
 	"quetzalhaven.dev/qhcrash"
 	"quetzalhaven.dev/qhdecision"
 	"quetzalhaven.dev/qhguard"
+	"quetzalhaven.dev/qhroute"
 )
 
 // fingerprint returns the fingerprint of the call's request; empty if requests are not
@@ -17,7 +18,7 @@
 		return c.knownFingerprint
 	}
 	c.knownFingerprint = qhcrash.Identity{
-		Method: c.request.Method, Host: stripPort(c.request.Host), URI: c.request.URL.RequestURI(),
+		Method: c.request.Method, Host: qhroute.StripPort(c.request.Host), URI: c.request.URL.RequestURI(),
 		Caller: c.proxy.LocalService(), Tenant: tenantName(c.tenant), Body: c.body.buffer, BodyLength: c.body.length,
 	}.Fingerprint()
 	return c.knownFingerprint
--- a/qhproxy/headers.go
+++ b/qhproxy/headers.go
@@ -1,7 +1,6 @@
 package qhproxy
 
 import (
-	"net"
 	"net/http"
 	"strings"
 
@@ -79,14 +78,3 @@
 	}
 	return false
 }
-
-// stripPort returns the host without its port.
-func stripPort(host string) string {
-	if !strings.Contains(host, ":") {
-		return host
-	}
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
-	}
-	return host
-}
--- a/qhproxy/tenant.go
+++ b/qhproxy/tenant.go
@@ -61,6 +61,9 @@
 		f.Challenge = problem.Challenge()
 		return f
 	}
+	if c.tenant.Unavailable {
+		return notExecuted(qhdecision.TenantUnavailable, http.StatusServiceUnavailable, defaultRetryAfter, "the configuration has no usable name or allowance for the tenant "+string(c.tenant.Name)+"; correct the tenant")
+	}
 	return nil
 }
 
@@ -110,7 +113,7 @@
 		switch {
 		case !p.Proof.IsFresh():
 			return errNoProof
-		case snapshot == nil || snapshot.Keys[key] == nil:
+		case snapshot == nil || snapshot.Keys[key] == nil || snapshot.Keys[key].Unavailable:
 			return errKeyUnknown
 		}
 		return nil
--- a/qhroute/index.go
+++ b/qhroute/index.go
@@ -57,14 +57,19 @@
 }
 
 // Match returns the route of a call, or nil if none matches. Precedence: a route
-// of the call's host before one that matches every host, then the longest prefix,
-// then a route that lists the method. The run time depends on the length of the
+// of the call's host with its port, then without, before one that matches every host, then
+// the longest prefix, then a route that lists the method. The run time depends on the length of the
 // path, not on the number of routes.
 func (i *Index) Match(host, method, path string) *qhconfig.Route {
 	host = strings.ToLower(host)
 	if route := i.hosts[host].match(method, path); route != nil || host == "" {
 		return route
 	}
+	if name := StripPort(host); name != host {
+		if route := i.hosts[name].match(method, path); route != nil {
+			return route
+		}
+	}
 	return i.hosts[""].match(method, path)
 }
 
