qhproxy: Routes are matched with the path as it was sent

A route whose prefix has encoded bytes never matched. Paths with bytes that should have been encoded reached targets encoded, and with %2F decoded beside them.

Cause: routes were matched with the decoded path, and net/url encoded some paths anew for forwarding. Two forms of one path.

Change: sentPath is what is matched; forwardingURL sends the same bytes.

--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -241,7 +241,7 @@
 	if c.snapshot == nil {
 		return notExecuted(qhdecision.NoConfig, http.StatusServiceUnavailable, defaultRetryAfter, "this node has no configuration yet; retry later")
 	}
-	c.route = c.snapshot.Index.Match(c.request.Host, c.request.Method, c.request.URL.Path)
+	c.route = c.snapshot.Index.Match(c.request.Host, c.request.Method, sentPath(c.request))
 	if c.route == nil {
 		return notExecuted(qhdecision.NoRoute, http.StatusNotFound, 0, "no route matches "+describeRequest(c.request)+"; check host, path and method")
 	}
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -56,12 +56,11 @@
 // newRequest returns the HTTP request to address. The connection pools send it
 // at most once.
 func (o *outgoingCall) newRequest(ctx context.Context, address qhid.Address) *http.Request {
-	target := *o.request.URL
-	target.Scheme, target.Host = "http", string(address)
-	target.User = nil
+	target := forwardingURL(o.request)
+	target.Host = string(address)
 	request := &http.Request{
 		Method:        o.request.Method,
-		URL:           &target,
+		URL:           target,
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
