qhproxy: What is not read of a body is never taken for a request

A slow upload of up to 64 KB got 400, which no caller repeats.

Cause: the rest of a body was read, or its connection closed, only for callers that had not sent Expect; in full duplex net/http leaves that to the handler, and a replaced body hides from it that the caller was never asked.

Change: callerBody knows whether a body was asked for and read to its end. If it was not, the response closes the connection (not asked for, or the call failed), or the rest is read for a bounded time, and the connection ends if that does not suffice. A body that does not arrive by the deadline is 408, not executed.

Left: "invalid concurrent Body.Read call" of net/http, seen once by the reviewer, is not explained.

--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -4,8 +4,8 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"quetzalhaven.dev/qhbalance"
@@ -40,9 +40,11 @@
 // call is a caller's request and its state on the caller's node, over all
 // attempts.
 type call struct {
-	proxy    *Proxy
-	request  *http.Request
-	body     *requestBody
+	proxy   *Proxy
+	request *http.Request
+	body    *requestBody
+	// sent is the body as the caller sends it; nil if it has no effect on the connection.
+	sent     *callerBody
 	id       qhid.Request
 	snapshot *qhhold.Snapshot
 	view     *qhmember.View
@@ -87,7 +89,7 @@
 	}
 	p.counters.calls.Inc()
 	start := time.Now()
-	c := &call{proxy: p, request: r, id: p.requestID(r)}
+	c := &call{proxy: p, request: r, id: p.requestID(r), sent: trackBody(r)}
 	w.Header()[qhheader.RequestID] = []string{string(c.id)}
 	if !p.callerCalls.tryAdd() {
 		p.refuseCaller(w, leavingFailure(), c)
@@ -98,16 +100,13 @@
 		p.refuseCaller(w, notExecuted(qhdecision.Busy, http.StatusServiceUnavailable, defaultRetryAfter, "this node has too many calls in flight; use another one"), c)
 		return
 	}
-	bodyComes := r.Header.Get("Expect") == "" // or else the caller waits to be asked
 	deadline, f := c.prepare(w)
 	if f != nil {
 		if c.request.Close {
 			w.Header().Set("Connection", "close")
 		}
 		p.refuseCaller(w, f, c)
-		if bodyComes {
-			discardBody(w, r, r.Body)
-		}
+		c.sent.finish(w, r.Body)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), deadline)
@@ -120,45 +119,29 @@
 		f = resp.bufferBody()
 	}
 	c.writeResult(w, resp, f, start)
-	if bodyComes && c.body.stream != nil {
-		discardBody(w, r, c.body.remainder())
-	}
-}
-
-const (
-	// maxDiscardedBody bounds the bytes of a request body that are read after the
-	// response. The connection of a caller that sends more is reset.
-	maxDiscardedBody = 1 << 20
-	// maxDiscardTime bounds how long they are read.
-	maxDiscardTime = time.Second
-)
-
-// discardBody reads rest, the rest of the request body, after the response was written.
-// Otherwise a connection that is closed after the response is reset while the
-// caller still sends, and the caller loses the response.
-func discardBody(w http.ResponseWriter, r *http.Request, rest io.Reader) {
-	if r.ProtoMajor != 1 || r.ContentLength == 0 || rest == nil {
-		return
-	}
-	controller := http.NewResponseController(w)
-	if controller.Flush() != nil {
-		return // the caller is gone
-	}
-	_ = controller.SetReadDeadline(time.Now().Add(maxDiscardTime)) // without read deadlines, the size bounds it
-	if _, err := io.CopyN(io.Discard, rest, maxDiscardedBody); !errors.Is(err, io.EOF) {
-		panic(http.ErrAbortHandler) // closes the connection, as net/http cannot continue after an unread body in full duplex
+	if c.body.stream != nil {
+		c.sent.finish(w, c.body.remainder())
 	}
 }
 
 // refuseCaller answers a call of a caller that was not sent.
 func (p *Proxy) refuseCaller(w http.ResponseWriter, f *failure, c *call) {
-	p.closeIfLeaving(w, c.request)
+	c.setConnection(w, f)
 	p.finishWithFailure(w, f, c.newDecision())
 }
 
+// setConnection makes the server close the caller's connection after the response if it
+// cannot be kept. f is nil for a response of a target.
+func (c *call) setConnection(w http.ResponseWriter, f *failure) {
+	c.proxy.closeIfLeaving(w, c.request)
+	if c.sent.mustClose(f != nil) {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // writeResult writes the response or the failure of the call to the caller.
 func (c *call) writeResult(w http.ResponseWriter, resp *targetResponse, f *failure, start time.Time) {
-	c.proxy.closeIfLeaving(w, c.request)
+	c.setConnection(w, f)
 	if f == nil || f.ReachedTarget {
 		defer func() { c.proxy.history.RecordDuration(c.route.Name, time.Since(start)) }()
 	}
@@ -269,6 +252,9 @@
 		c.request.Body = http.MaxBytesReader(w, c.request.Body, limit)
 	}
 	body, err := newRequestBody(c.request, c.proxy.group)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return notExecuted(qhdecision.BadBody, http.StatusRequestTimeout, 0, "the request body did not arrive before the deadline of the call")
+	}
 	if err != nil {
 		return notExecuted(qhdecision.BadBody, http.StatusBadRequest, 0, err.Error())
 	}
