qhannounce: What has left is not revived by a later start or by an announcement without one

Cause: Withdraw recorded the registered incarnation as ended, not the one that was withdrawn; an announcement without a start time counted as never outdated.

Change: the later of the two is recorded. An announcement without a start time is ignored for targets that are known to send one, also after they have left, for as long as that is remembered (2 minutes). Targets that never send one are treated as before.

--- a/qhannounce/qhannounce.go
+++ b/qhannounce/qhannounce.go
@@ -93,7 +93,9 @@
 // endedIncarnation is an incarnation of a target that was withdrawn or replaced.
 type endedIncarnation struct {
 	startedAt int64
-	endedAt   time.Time
+	// isAnnounced is set if the target sent startedAt itself.
+	isAnnounced bool
+	endedAt     time.Time
 }
 
 // endedRetention is how long ended incarnations are remembered. It is far above the
@@ -143,7 +145,7 @@
 // that belongs to a target which started later. The lock is held.
 func (r *Registry) isOutdated(id qhid.Target, announcement Announcement) bool {
 	if announcement.StartedAt == 0 {
-		return false
+		return r.sendsStartedAt(id)
 	}
 	if ended, ok := r.ended[id]; ok && announcement.StartedAt <= ended.startedAt {
 		return true
@@ -161,6 +163,13 @@
 	return false
 }
 
+// sendsStartedAt reports whether the target is known to send StartedAt. An announcement
+// without it is not from that target, or nobody can tell that it is not outdated. The lock
+// is held.
+func (r *Registry) sendsStartedAt(id qhid.Target) bool {
+	return r.targets[id].StartedAt != 0 || r.ended[id].isAnnounced
+}
+
 // removeAtAddress removes other targets with the address of the announcement, and
 // reports whether there were any. The lock is held.
 func (r *Registry) removeAtAddress(id qhid.Target, announcement Announcement) bool {
@@ -183,7 +192,7 @@
 func (r *Registry) endIncarnation(id qhid.Target, startedAt int64) {
 	delete(r.targets, id)
 	if startedAt > 0 {
-		r.ended[id] = endedIncarnation{startedAt: startedAt, endedAt: r.Now()}
+		r.ended[id] = endedIncarnation{startedAt: startedAt, isAnnounced: true, endedAt: r.Now()}
 	}
 }
 
@@ -192,18 +201,21 @@
 // later incarnation is registered. Delayed announcements of the removed incarnation
 // are ignored, also if the target is not registered, as after a restart of the node.
 func (r *Registry) Withdraw(id qhid.Target, startedAt int64) {
-	r.mu.Lock()
-	known, ok := r.targets[id]
-	if !ok && startedAt == 0 {
+	isAnnounced := startedAt != 0
+	if !isAnnounced {
 		startedAt = r.Now().UnixMilli() // the target has the clock of this VM
 	}
-	outdated := ok && startedAt != 0 && startedAt < known.StartedAt
-	if !ok && startedAt > r.ended[id].startedAt {
-		r.ended[id] = endedIncarnation{startedAt: startedAt, endedAt: r.Now()}
-	}
+	r.mu.Lock()
+	known, ok := r.targets[id]
 	r.mu.Unlock()
-	if !outdated {
-		r.Remove(id)
+	if ok && startedAt < known.StartedAt {
+		return
+	}
+	r.Remove(id)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if before := r.ended[id]; startedAt > before.startedAt {
+		r.ended[id] = endedIncarnation{startedAt: startedAt, isAnnounced: isAnnounced || before.isAnnounced, endedAt: r.Now()}
 	}
 }
 
--- a/qhannounce/qhannounce_test.go
+++ b/qhannounce/qhannounce_test.go
@@ -92,6 +92,46 @@
 		Expect(registry.List()).To(HaveLen(1))
 	})
 
+	// Guards against a deregistration of a later incarnation than the registered one that is
+	// forgotten.
+	It("ignores delayed announcements of a later incarnation that was withdrawn before it was announced", func() {
+		announcement := Announcement{Service: "s", Address: "h:1", Slots: 1, StartedAt: 7, Sequence: 9}
+		Expect(registry.Put("b1", announcement)).To(Succeed())
+		registry.Withdraw("b1", 8)
+		Expect(registry.List()).To(BeEmpty())
+		now = now.Add(4 * time.Second)
+		announcement.StartedAt, announcement.Sequence = 8, 1
+		Expect(registry.Put("b1", announcement)).To(Succeed())
+		Expect(registry.List()).To(BeEmpty())
+		announcement.StartedAt = 9
+		Expect(registry.Put("b1", announcement)).To(Succeed())
+		Expect(registry.List()).To(HaveLen(1))
+		registry.Withdraw("b1", 0) // all that have started by now
+		announcement.StartedAt = now.UnixMilli() - 1
+		Expect(registry.Put("b1", announcement)).To(Succeed())
+		Expect(registry.List()).To(BeEmpty())
+	})
+
+	// Guards against an announcement of another writer that revives what has left.
+	It("ignores announcements without a start time of targets that send one", func() {
+		announcement := Announcement{Service: "s", Address: "h:1", Slots: 1, StartedAt: 7, Sequence: 9}
+		foreign := announcement
+		foreign.StartedAt = 0
+		Expect(registry.Put("b1", announcement)).To(Succeed())
+		announcement.State, announcement.Sequence = qhmember.Leaving, 10
+		Expect(registry.Put("b1", announcement)).To(Succeed())
+		Expect(registry.Put("b1", foreign)).To(Succeed())
+		Expect(registry.List()[0].State).To(Equal(qhmember.Leaving))
+		registry.Withdraw("b1", 7)
+		now = now.Add(time.Minute)
+		registry.RemoveExpired()
+		Expect(registry.Put("b1", foreign)).To(Succeed())
+		Expect(registry.List()).To(BeEmpty())
+		registry.Withdraw("b2", 0) // it may send no start times
+		Expect(registry.Put("b2", foreign)).To(Succeed())
+		Expect(registry.List()).To(HaveLen(1))
+	})
+
 	It("withdraws a target at once", func() {
 		send(http.MethodPut, "b1", validAnnouncement)
 		Expect(send(http.MethodDelete, "b1", "").Code).To(Equal(http.StatusNoContent))
