qhannounce, qhserve: Departures of targets outlast a restart of their node

Cause: what has left was known to the node's process only.

Change: the departures of the last 2 minutes are an object of the node in the store, read at its start. A withdrawn incarnation is not registered again, a leaving one stays leaving.

Ruled out: the node's entry among the members, which goes with its last target; waiting for the store before the acknowledgement, which has one second.

--- a/qhannounce/qhannounce.go
+++ b/qhannounce/qhannounce.go
@@ -63,8 +63,11 @@
 	Announcement
 	// LastSeen is when the target last announced itself.
 	LastSeen time.Time `json:"seen"`
-	// saidLeaving is set once a response of the target said that it is leaving.
+	// saidLeaving is set once a response of the target said that it is leaving, or an
+	// earlier process of the node has known it.
 	saidLeaving bool
+	// leavingSince is when the target became leaving; zero if it is not.
+	leavingSince time.Time
 }
 
 // Options configures a Registry.
@@ -76,7 +79,10 @@
 	// OnChange is called with all targets, ordered by id, after each change of the
 	// targets. Calls are serialized and in order.
 	OnChange func(targets []Target)
-	Log      *zap.Logger
+	// OnDeparture is called when Departures may have changed, without waiting; it may be
+	// nil.
+	OnDeparture func()
+	Log         *zap.Logger
 }
 
 // Registry holds the targets of one VM. It is safe for concurrent use.
@@ -88,6 +94,8 @@
 	// ended has the last ended incarnation of each target that was withdrawn or
 	// replaced. Delayed announcements of it are ignored.
 	ended map[qhid.Target]endedIncarnation
+	// leaving has the leaving incarnations that an earlier process of the node has known.
+	leaving map[qhid.Target]Departure
 }
 
 // endedIncarnation is an incarnation of a target that was withdrawn or replaced.
@@ -104,7 +112,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry(options Options) *Registry {
-	return &Registry{Options: options, targets: make(map[qhid.Target]Target), ended: make(map[qhid.Target]endedIncarnation)}
+	return &Registry{Options: options, targets: make(map[qhid.Target]Target), ended: make(map[qhid.Target]endedIncarnation), leaving: make(map[qhid.Target]Departure)}
 }
 
 // Put adds or renews a target. Errors are of kind BadInput for an invalid
@@ -128,15 +136,20 @@
 	if !known && len(r.targets) >= MaxTargets {
 		return qherr.New(qherr.Refused, nil, "stop a target of this VM first", "target %q exceeds the maximum of %d targets per node", id, MaxTargets)
 	}
-	saidLeaving := before.saidLeaving && announcement.StartedAt != 0 && announcement.StartedAt == before.StartedAt
+	saidLeaving := announcement.StartedAt != 0 && (before.saidLeaving && announcement.StartedAt == before.StartedAt || announcement.StartedAt == r.leaving[id].StartedAt)
 	if saidLeaving {
 		announcement.State = qhmember.Leaving
 	}
-	r.targets[id] = Target{ID: id, Announcement: announcement, LastSeen: r.Now(), saidLeaving: saidLeaving}
+	target := Target{ID: id, Announcement: announcement, LastSeen: r.Now(), saidLeaving: saidLeaving}
+	target.leavingSince = r.leavingSince(target, before)
+	r.targets[id] = target
 	if replaced || !known || !before.equalExceptRenewal(announcement) {
 		r.Log.Info("target announced", zap.String("target", string(id)), zap.String("service", string(announcement.Service)), zap.String("state", string(announcement.State)))
 		r.notifyChange()
 	}
+	if replaced || announcement.State == qhmember.Leaving && before.State != qhmember.Leaving {
+		r.notifyDeparture()
+	}
 	return nil
 }
 
@@ -216,6 +229,7 @@
 	defer r.mu.Unlock()
 	if before := r.ended[id]; startedAt > before.startedAt {
 		r.ended[id] = endedIncarnation{startedAt: startedAt, isAnnounced: isAnnounced || before.isAnnounced, endedAt: r.Now()}
+		r.notifyDeparture()
 	}
 }
 
@@ -231,6 +245,7 @@
 	r.endIncarnation(id, known.StartedAt)
 	r.Log.Info("target withdrawn", zap.String("target", string(id)))
 	r.notifyChange()
+	r.notifyDeparture()
 }
 
 // MarkLeaving records that a response of the target said that it is leaving. That
@@ -243,11 +258,13 @@
 	if !ok || target.saidLeaving {
 		return
 	}
-	before := target.State
+	before := target
 	target.saidLeaving, target.State = true, qhmember.Leaving
+	target.leavingSince = r.leavingSince(target, before)
 	r.targets[id] = target
-	r.Log.Info("target said in a response that it is leaving", zap.String("target", string(id)), zap.String("before", string(before)), zap.Int64("born", target.StartedAt))
+	r.Log.Info("target is leaving, as it said in a response or before a restart of this node", zap.String("target", string(id)), zap.String("before", string(before.State)), zap.Int64("born", target.StartedAt))
 	r.notifyChange()
+	r.notifyDeparture()
 }
 
 // RemoveExpired removes the targets whose announcements have expired, and the ended
@@ -261,6 +278,11 @@
 			delete(r.ended, id)
 		}
 	}
+	for id, departure := range r.leaving {
+		if r.Now().Sub(time.UnixMilli(departure.At)) > endedRetention {
+			delete(r.leaving, id)
+		}
+	}
 	expired := false
 	for id, target := range r.targets {
 		if !target.LastSeen.Before(oldest) {
@@ -296,6 +318,12 @@
 	r.OnChange(r.sortedTargets())
 }
 
+func (r *Registry) notifyDeparture() {
+	if r.OnDeparture != nil {
+		r.OnDeparture()
+	}
+}
+
 // validate returns an error of kind BadInput for an announcement that is incomplete
 // or out of range.
 func validate(id qhid.Target, announcement Announcement) error {
--- a/qhannounce/qhannounce_test.go
+++ b/qhannounce/qhannounce_test.go
@@ -132,6 +132,47 @@
 		Expect(registry.List()).To(HaveLen(1))
 	})
 
+	// Guards against a delayed announcement that brings back what has left before a restart of
+	// the node.
+	It("keeps departures over a restart", func() {
+		put := func(r *Registry, id qhid.Target, born int64, seq qhid.Sequence, state qhmember.State) {
+			Expect(r.Put(id, Announcement{Service: "s", Address: qhid.Address(id + ":1"), Slots: 1, StartedAt: born, Sequence: seq, State: state})).To(Succeed())
+		}
+		departures := 0
+		registry.OnDeparture = func() { departures++ }
+		put(registry, "b1", 7, 1, qhmember.Up)
+		put(registry, "b2", 7, 1, qhmember.Up)
+		put(registry, "b3", 7, 1, qhmember.Up)
+		Expect(departures).To(BeZero())
+		registry.Withdraw("b1", 7)
+		put(registry, "b2", 7, 5, qhmember.Leaving)
+		Expect(departures).To(BeNumerically(">=", 2))
+		saved := registry.Departures()
+		Expect(saved).To(HaveLen(2))
+		now = now.Add(time.Minute)
+		restarted := NewRegistry(registry.Options)
+		put(restarted, "b2", 7, 2, qhmember.Up) // before the store has answered
+		restarted.Restore(saved)
+		Expect(restarted.Departures()).To(Equal(saved))
+		put(restarted, "b1", 7, 2, qhmember.Up)
+		put(restarted, "b2", 7, 3, qhmember.Up)
+		put(restarted, "b3", 7, 2, qhmember.Up)
+		states := map[qhid.Target]qhmember.State{}
+		for _, target := range restarted.List() {
+			states[target.ID] = target.State
+		}
+		Expect(states).To(Equal(map[qhid.Target]qhmember.State{"b2": qhmember.Leaving, "b3": qhmember.Up}))
+		put(restarted, "b1", 8, 1, qhmember.Up)
+		put(restarted, "b2", 8, 1, qhmember.Up)
+		for _, target := range restarted.List() {
+			Expect(target.State).To(Equal(qhmember.Up))
+		}
+		now = now.Add(10 * time.Minute)
+		later := NewRegistry(registry.Options)
+		later.Restore(saved)
+		Expect(later.Departures()).To(BeEmpty())
+	})
+
 	It("withdraws a target at once", func() {
 		send(http.MethodPut, "b1", validAnnouncement)
 		Expect(send(http.MethodDelete, "b1", "").Code).To(Equal(http.StatusNoContent))
--- a/qhnode/qhserve/node.go
+++ b/qhnode/qhserve/node.go
@@ -68,15 +68,17 @@
 type Node struct {
 	Options
 
-	started   time.Time
-	metrics   *metrics.Set
-	holder    *qhhold.Holder
-	members   *qhmember.Table
-	guards    *qhguard.Set
-	targets   *qhannounce.Registry
-	decisions *qhdecision.Ring
-	proxy     *qhproxy.Proxy
-	source    source
+	started time.Time
+	metrics *metrics.Set
+	holder  *qhhold.Holder
+	members *qhmember.Table
+	guards  *qhguard.Set
+	targets *qhannounce.Registry
+	// departures keeps which incarnations of the targets have left over a restart.
+	departures *departures
+	decisions  *qhdecision.Ring
+	proxy      *qhproxy.Proxy
+	source     source
 	// proof tells whether the configuration in force may be used to admit calls by key.
 	proof *qhkey.Proof
 	// quota bounds the calls of tenants; nil without a store that all nodes watch.
@@ -174,7 +176,11 @@
 	n.source = source
 	cleanup.add(stopSource)
 	n.startProxy(&store, cleanup)
+	n.departures = newDepartures(store, settings.ID, n.Log)
 	n.startTargets()
+	if settings.Store != nil {
+		n.group.Go(func(ctx context.Context) { n.departures.run(ctx, n.targets) })
+	}
 	n.startDecider(store)
 	if n.quota != nil {
 		n.group.Go(n.quota.Run)
@@ -229,10 +235,11 @@
 // ones.
 func (n *Node) startTargets() {
 	n.targets = qhannounce.NewRegistry(qhannounce.Options{
-		TTL:      n.announcementTTL(),
-		Now:      time.Now,
-		OnChange: n.targetsChanged,
-		Log:      n.Log,
+		TTL:         n.announcementTTL(),
+		Now:         time.Now,
+		OnChange:    n.targetsChanged,
+		OnDeparture: n.departures.wake,
+		Log:         n.Log,
 	})
 	n.group.Every(expiryCheckInterval, func(context.Context) { n.targets.RemoveExpired() })
 }
