--- a/qhannounce/qhannounce.go
+++ b/qhannounce/qhannounce.go
@@ -136,23 +136,32 @@
 	if !known && len(r.targets) >= MaxTargets {
 		return qherr.New(qherr.Refused, nil, "stop a target of this VM first", "target %q exceeds the maximum of %d targets per node", id, MaxTargets)
 	}
-	saidLeaving := announcement.StartedAt != 0 && (before.saidLeaving && announcement.StartedAt == before.StartedAt || announcement.StartedAt == r.leaving[id].StartedAt)
-	if saidLeaving {
-		announcement.State = qhmember.Leaving
-	}
-	target := Target{ID: id, Announcement: announcement, LastSeen: r.Now(), saidLeaving: saidLeaving}
-	target.leavingSince = r.leavingSince(target, before)
+	target := r.newTarget(id, announcement, before)
 	r.targets[id] = target
-	if replaced || !known || !before.equalExceptRenewal(announcement) {
-		r.Log.Info("target announced", zap.String("target", string(id)), zap.String("service", string(announcement.Service)), zap.String("state", string(announcement.State)))
+	if replaced || !known || !before.equalExceptRenewal(target.Announcement) {
+		r.Log.Info("target announced", zap.String("target", string(id)), zap.String("service", string(target.Service)), zap.String("state", string(target.State)))
 		r.notifyChange()
 	}
-	if replaced || announcement.State == qhmember.Leaving && before.State != qhmember.Leaving {
+	if replaced || target.State == qhmember.Leaving && before.State != qhmember.Leaving {
 		r.notifyDeparture()
 	}
 	return nil
 }
 
+// newTarget returns the announced target, which was the given one before. It is leaving if
+// it has said so already. The lock is held.
+func (r *Registry) newTarget(id qhid.Target, announcement Announcement, before Target) Target {
+	target := Target{ID: id, Announcement: announcement, LastSeen: r.Now()}
+	if born := announcement.StartedAt; born != 0 {
+		target.saidLeaving = before.saidLeaving && born == before.StartedAt || born == r.leaving[id].StartedAt
+	}
+	if target.saidLeaving {
+		target.State = qhmember.Leaving
+	}
+	target.leavingSince = r.leavingSince(target, before)
+	return target
+}
+
 // isOutdated reports whether the announcement is from an earlier or ended
 // incarnation of the target, is older than one already received, or has an address
 // that belongs to a target which started later. The lock is held.
