qhserve: A node without a target mints no tokens of tenants

What callers saw (review/stand quota): after an endpoint was lost for good, 1,204 or 1,205 requests of a tenant ran in 5 s where 1,142 may.

Cause: the node of the lost endpoint goes on minting its part while its entry, which goes with the last target, is no longer counted by the others. It also took itself for a keeper of pools that nobody else asks.

Change: it mints nothing and keeps no pool; its callers borrow from the pools of the others.

--- a/qhnode/qhserve/tenants.go
+++ b/qhnode/qhserve/tenants.go
@@ -84,21 +84,27 @@
 	return keys
 }
 
-// mintingNodes returns the number of nodes that divide the allowances, or 0 before this
-// node knows the others.
+// mintingNodes returns the number of nodes that divide the allowances, or 0 if this node
+// must not mint: before it knows the others, and while it has no target, since its entry is
+// not announced then and the others divide without it. Its callers use what the pools have.
 func (n *Node) mintingNodes() int {
 	select {
 	case <-n.source.ready:
-		return len(n.members.View().Entries)
 	default:
 		return 0
 	}
+	if len(n.members.Self().Targets) == 0 {
+		return 0
+	}
+	return len(n.members.View().Entries)
 }
 
 // quotaKeepers returns the nodes that may keep the pool of a key, in the order of a hash
 // of key and node: those with the fastest links.
 func (n *Node) quotaKeepers(key qhquota.Key) []qhid.Node {
-	entries := slices.DeleteFunc(slices.Clone(n.members.View().Entries), func(entry qhmember.Entry) bool { return entry.State != qhmember.Up })
+	entries := slices.DeleteFunc(slices.Clone(n.members.View().Entries), func(entry qhmember.Entry) bool {
+		return entry.State != qhmember.Up || len(entry.Targets) == 0 // others do not know this node without targets
+	})
 	slices.SortFunc(entries, func(a, b qhmember.Entry) int {
 		return cmp.Or(cmp.Compare(b.LinkSpeed, a.LinkSpeed), cmp.Compare(a.Node, b.Node))
 	})
