qhproxy: A response in chunks that breaks off leaves the responses behind it alone

Cause: only small responses of known length were read before they were forwarded, so that one that breaks off can still become a failure.

Change: a small response of unknown length is read too if others wait for it. If none does, it is streamed, and no further call is started on its connection until it ends. At the deadline the failure is 504.

--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -115,7 +115,7 @@
 		defer conn.trackCall(cancel, c.mayRunConcurrently())()
 	}
 	resp, f := c.claimAndSend(ctx)
-	if f == nil && c.mayRunConcurrently() {
+	if f == nil && c.mayRunConcurrently() && (resp.ContentLength >= 0 || connOfRequest(r).holdsBack()) {
 		f = resp.bufferBody()
 	}
 	c.writeResult(w, resp, f, start)
--- a/qhproxy/pipeline.go
+++ b/qhproxy/pipeline.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -134,25 +135,59 @@
 	})
 }
 
-// bufferBody reads a small response completely, so that a truncated one does
-// not close the connection on which other responses are pending.
+// bufferBody reads a small response completely, so that a truncated one does not close the
+// connection on which other responses are pending.
 func (r *targetResponse) bufferBody() *failure {
-	if r.ContentLength < 0 || qhid.Bytes(r.ContentLength) > maxBufferedResponse || len(r.Trailer) > 0 {
+	if qhid.Bytes(r.ContentLength) > maxBufferedResponse || len(r.Trailer) > 0 {
+		return nil
+	}
+	data, err := io.ReadAll(io.LimitReader(r.Body, int64(maxBufferedResponse)+1))
+	if err == nil && qhid.Bytes(len(data)) > maxBufferedResponse {
+		r.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(data), r.Body), Closer: r.Body}
 		return nil
 	}
-	data, err := io.ReadAll(r.Body)
 	_ = r.Body.Close() // err tells whether the body is complete
 	if err != nil {
 		if r.onTruncated != nil {
 			r.onTruncated(err)
 		}
 		r.release()
-		return outcomeUnknown(qhdecision.ResponseTruncated, http.StatusBadGateway, "the target's response was truncated: "+err.Error())
+		return truncatedFailure(err)
 	}
 	r.Body = io.NopCloser(bytes.NewReader(data))
 	return nil
 }
 
+// truncatedFailure returns the failure of a call whose response ended early with err.
+func truncatedFailure(err error) *failure {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return outcomeUnknown(qhdecision.DeadlineExceeded, http.StatusGatewayTimeout, "the target's response did not end before the deadline of the call")
+	}
+	return outcomeUnknown(qhdecision.ResponseTruncated, http.StatusBadGateway, "the target's response was truncated: "+err.Error())
+}
+
+// prefixedBody is a body of which a part was read already.
+type prefixedBody struct {
+	io.Reader
+	io.Closer
+}
+
+// holdsBack reports whether the responses of other calls wait for that of the current one. If
+// not, no further calls are started until it is written, so that it can be streamed. c may be
+// nil.
+func (c *callerConn) holdsBack() bool {
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pipelined) > 0 {
+		return true
+	}
+	c.concurrent = false
+	return false
+}
+
 // startPipelinedCalls starts the calls of the requests after the current one,
 // while they may run concurrently with it. c.mu must be held.
 func (c *callerConn) startPipelinedCalls() {
--- a/qhproxy/pipeline_test.go
+++ b/qhproxy/pipeline_test.go
@@ -142,6 +142,42 @@
 		Expect(body).To(Equal("/reads/1"))
 	})
 
+	// Guards against a response of unknown length that breaks off and closes the connection of
+	// responses that are ready.
+	It("are answered after a response in chunks that breaks off", func() {
+		reads := newRoute("reads", "/reads", "booking", func(r *qhconfig.Route) {
+			r.Retry, r.Timeout = qhconfig.RetrySafe, qhconfig.Duration(2*targetDelay)
+		})
+		f.setRoutes([]qhconfig.Route{reads})
+		f.startTarget("t1", "booking", "a", 8, func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.WriteString(w, r.URL.Path)
+			_ = http.NewResponseController(w).Flush()
+			switch r.URL.Path {
+			case "/reads/1":
+				<-r.Context().Done()
+			case "/reads/2":
+				panic(http.ErrAbortHandler)
+			case "/reads/4":
+				_, _ = io.WriteString(w, strings.Repeat("x", 2*int(maxBufferedResponse)))
+			}
+		})
+		var requests strings.Builder
+		for i := range 6 {
+			requests.WriteString(get(fmt.Sprint("/reads/", i)))
+		}
+		send(requests.String())
+		for i, status := range []int{200, 504, 502, 200, 200, 200} {
+			resp, body := readResponse()
+			Expect(resp.StatusCode).To(Equal(status), "response %d", i)
+			if status == http.StatusOK {
+				Expect(body).To(HavePrefix(fmt.Sprint("/reads/", i)))
+			}
+			if i == 4 {
+				Expect(body).To(HaveLen(len("/reads/4") + 2*int(maxBufferedResponse)))
+			}
+		}
+	})
+
 	It("get their own responses after the server answered a request without the handler", func() {
 		f.startTarget("t1", "booking", "a", 8, echo)
 		send("OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n")
