qhproxy: A head with a bare line feed does not block its connection

Cause: the splitter of requests and net/http see other lines in such a head. The call was started as one without a body, and its check of two lengths takes the connection's lock, which is held there.

Change: a head with a bare LF is left to the server, and nothing behind it is read ahead; a call that has a body is never started before its turn.

Before, with the new spec on: it does not end (killed after 30 s); after, it passes.

--- a/qhproxy/pipeline.go
+++ b/qhproxy/pipeline.go
@@ -62,6 +62,9 @@
 	if err != nil {
 		return nil // the server will refuse it
 	}
+	if r.ContentLength != 0 {
+		return nil // its body comes behind it
+	}
 	r.RemoteAddr = conn.RemoteAddr().String()
 	r = r.WithContext(withConn(p.baseContext, conn))
 	c := &call{proxy: p, request: r, id: p.requestID(r)}
--- a/qhproxy/pipeline_test.go
+++ b/qhproxy/pipeline_test.go
@@ -178,6 +178,16 @@
 		}
 	})
 
+	// Guards against a connection that blocks for good.
+	It("are answered before and after one whose lines end in different ways", func() {
+		f.startTarget("t1", "booking", "a", 8, echo)
+		send(get("/reads/0") + "POST /writes/1 HTTP/1.1\r\nHost: h\nTransfer-Encoding: chunked\r\n\r\n" + "22\r\n" + get("/reads/x") + "\r\n0\r\n\r\n" + get("/reads/2"))
+		for _, want := range []string{"/reads/0", "/writes/1", "/reads/2"} {
+			_, body := readResponse()
+			Expect(body).To(Equal(want))
+		}
+	})
+
 	It("get their own responses after the server answered a request without the handler", func() {
 		f.startTarget("t1", "booking", "a", 8, echo)
 		send("OPTIONS * HTTP/1.1\r\nHost: h\r\n\r\n")
--- a/qhproxy/splitter.go
+++ b/qhproxy/splitter.go
@@ -101,6 +101,9 @@
 		return 0, false
 	}
 	size = len(head) + len(headTerminator)
+	if bytes.Count(head, []byte("\n")) != bytes.Count(head, []byte("\r\n")) {
+		return 0, true // the server may see other lines in it
+	}
 	for i, line := range strings.Split(string(head), "\r\n") {
 		name, value, _ := strings.Cut(line, ":")
 		switch {
