qhfeed: Messages about the allowances of many tenants are not refused

What callers would see (read by the reviewer, not run): with some hundreds of limited tenants a node's messages to the keepers of pools exceed 4 KB and are refused, so that tokens are lost and calls within an allowance get 429.

Cause: Answer had the limit of a watch's request. Change: 1 MiB, in proportion to a configuration.

--- a/qhfeed/peer.go
+++ b/qhfeed/peer.go
@@ -34,7 +34,7 @@
 
 // Answer answers the request of another node that was sent by Ask.
 func Answer[Request, Response any](w http.ResponseWriter, r *http.Request, answer func(Request) Response) {
-	if request, ok := readRequest[Request](w, r, maxRequestSize); ok {
+	if request, ok := readRequest[Request](w, r, maxMessageSize); ok {
 		writeResponse(w, answer(request))
 	}
 }
--- a/qhfeed/serve_watch.go
+++ b/qhfeed/serve_watch.go
@@ -28,6 +28,9 @@
 	minPackSize qhid.Bytes = 2 << 10
 	// maxRequestSize bounds the size of a watch request or version notice.
 	maxRequestSize qhid.Bytes = 4 << 10
+	// maxMessageSize bounds a message that Answer answers. It may have an entry for each
+	// tenant of a configuration.
+	maxMessageSize qhid.Bytes = 1 << 20
 )
 
 // watchSource is the source of a watcher's objects: the store or a reader.
