qhverdict: The race detector's own crash on arm64 is told from other ends

Traced: PC=0x2b274 is in __tsan::SlotLock, called from __tsan::Acquire, reading address 0, on the system stack of a timer in a synctest bubble (runtime.(*timer).maybeRunChan). No Go code of ours or of the runtime is there: a nil pointer in Go code is a panic.

Change: like a failed check of the detector, this end does not count where the tests run without the detector too, and only without a failed test or a data race. Any other end fails as before; x86-64 is unchanged.

--- a/qhverdict/main.go
+++ b/qhverdict/main.go
@@ -85,7 +85,7 @@
 }
 
 // raceDetectorFails is the package whose test process the race detector of arm64 ends at times
-// by a failed check of its own, without a data race.
+// by a fault of its own, without a data race.
 const raceDetectorFails = "quetzalhaven.dev/qhfeed"
 
 // testGroups returns the arguments of each run of go test that the packages need on an
--- a/qhverdict/results.go
+++ b/qhverdict/results.go
@@ -9,8 +9,10 @@
 	"strings"
 )
 
-// detectorEndText is what the race detector writes when a check of its own fails.
-const detectorEndText = "ThreadSanitizer: CHECK failed"
+// detectorEnds matches what the race detector writes when a check of its own fails, and what
+// the Go runtime writes when the detector reads from address 0. If Go code does that, the
+// output has a panic in its place.
+var detectorEnds = regexp.MustCompile(`ThreadSanitizer: CHECK failed|(?m)^SIGSEGV: segmentation violation\nPC=0x[0-9a-f]+ m=\d+ sigcode=\d+ addr=0x0\n`) //nolint:gochecknoglobals // a constant
 
 // TestEvent is one line of the output of go test -json. The field names are the
 // JSON keys.
@@ -77,10 +79,10 @@
 	if strings.Contains(text, "WARNING: DATA RACE") {
 		r.failed[pkg] = append(r.failed[pkg], "data race in "+pkg)
 	}
-	if len(r.failed[pkg]) == 0 && pkg == r.RunsTwice && strings.Contains(text, detectorEndText) {
+	if len(r.failed[pkg]) == 0 && pkg == r.RunsTwice && detectorEnds.MatchString(text) {
 		r.detectorEnded++
 		delete(r.output, pkg)
-		return "the race detector ended the tests of " + pkg + " by a failed check of its own; they run without it too"
+		return "the race detector ended the tests of " + pkg + " by a fault of its own; they run without it too"
 	}
 	if len(r.failed[pkg]) == 0 {
 		r.failed[pkg] = []string{"build or start of " + pkg}
