qhsite: A stop during the start of a node ends in time

Held: stopped 0, 10, 30, 100 and 300 ms after its start the node ends within the grace, with status 0 or, before it handles signals, by the signal.

--- a/qhsite/shutdown_test.go
+++ b/qhsite/shutdown_test.go
@@ -105,6 +105,21 @@
 			Expect(f.SetPlatformFaults(ctx, qhplatform.Faults{Hang: true})).To(Succeed())
 		}),
 	)
+
+	It("ends in time during the start of the node", func(ctx SpecContext) {
+		f := newServingFleet(ctx)
+		node := f.target("arrangements-1").Node
+		kill(node)
+		node.Settings.Calls.ShutdownTimeout = qhconfig.Duration(grace)
+		Expect(node.WriteSettings()).To(Succeed())
+		for _, delay := range []time.Duration{0, 10 * time.Millisecond, 30 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond} {
+			restart(node)
+			time.Sleep(delay)
+			Expect(node.Terminate()).To(Succeed())
+			Eventually(node.Done(), grace).Should(BeClosed(), "stopped %s after its start", delay)
+			Expect(node.ExitStatus()).To(BeElementOf(0, -1)) // -1 before it handles signals
+		}
+	}, SpecTimeout(specTimeout))
 })
 
 var _ = Describe("A rolling restart under load", func() {
