qhtransit, qhproxy: Tell how old a forwarded call is when its target's node reads it

What nobody could see: whether a call that began long after its caller had left was delayed between two nodes or held by the second one. A relative deadline says nothing about the way, and the clocks of two nodes cannot be compared.

The sender now says how long after the opening of the connection it measured the headers, and the receiver compares that with its own count since it accepted the connection; the smallest difference within one to two minutes stands for a call that was not delayed (qhtransit). Both count suspended time, so that a suspension of either side does not shift the baseline. A first call on a connection has an age; a call from an earlier release has none.

New: qh_forwarded_age_seconds, qh_forwarded_held_seconds, and a line "forwarded call delayed" with both from half a second on. No decision depends on them yet.

--- a/qhconn/conn.go
+++ b/qhconn/conn.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"quetzalhaven.dev/qhclock"
 	"quetzalhaven.dev/qhid"
 )
 
@@ -65,6 +66,8 @@
 	// received, in nanoseconds since then on the steady clock.
 	opened   time.Time
 	lastRead atomic.Int64
+	// openedAt is opened on the clock that counts suspended time.
+	openedAt qhclock.Instant
 	// firstRead is closed when the first bytes are received.
 	firstRead     chan struct{}
 	firstReadOnce sync.Once
@@ -161,7 +164,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{Conn: conn, opened: time.Now(), firstRead: make(chan struct{})}
+	tracked := &trackedConn{Conn: conn, opened: time.Now(), openedAt: qhclock.Now(), firstRead: make(chan struct{})}
 	if holder, ok := ctx.Value(trackedConnKey{}).(**trackedConn); ok {
 		*holder = tracked
 	}
--- a/qhconn/nodes.go
+++ b/qhconn/nodes.go
@@ -5,10 +5,13 @@
 	"errors"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"quetzalhaven.dev/qhclock"
 	"quetzalhaven.dev/qhgroup"
+	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhid"
 )
 
@@ -122,13 +125,15 @@
 
 // RoundTrip sends the request once to the node at address. A *DialError or
 // *UnprocessedError means that the node certainly did not receive the request or
-// will not process it.
-func (p *NodePool) RoundTrip(address qhid.Address, req *http.Request) (*http.Response, error) {
-	client, err := p.acquire(req.Context(), address)
+// will not process it. prepared is when the durations in the request's headers were
+// measured; the request says how long that was after the opening of its connection.
+func (p *NodePool) RoundTrip(address qhid.Address, prepared qhclock.Instant, req *http.Request) (*http.Response, error) {
+	conn, err := p.acquire(req.Context(), address)
 	if err != nil {
 		return nil, err
 	}
-	resp, err := client.RoundTrip(req)
+	req.Header.Set(qhheader.NodeSent, strconv.FormatInt(prepared.Since(conn.tracked.openedAt).Milliseconds(), 10))
+	resp, err := conn.client.RoundTrip(req)
 	if err != nil && peerDidNotProcess(err) {
 		return nil, &UnprocessedError{Cause: err}
 	}
@@ -136,7 +141,7 @@
 }
 
 // acquire returns a connection with one stream reserved.
-func (p *NodePool) acquire(ctx context.Context, address qhid.Address) (*http.ClientConn, error) {
+func (p *NodePool) acquire(ctx context.Context, address qhid.Address) (*nodeConn, error) {
 	found, ok := p.nodes.Load(address)
 	if !ok {
 		found, _ = p.nodes.LoadOrStore(address, &nodeConns{})
@@ -144,9 +149,9 @@
 	n := found.(*nodeConns)
 	var timeout <-chan time.Time // set once the call has to wait
 	for {
-		client, pending := p.reserveOrDial(n, address)
-		if client != nil {
-			return client, nil
+		conn, pending := p.reserveOrDial(n, address)
+		if conn != nil {
+			return conn, nil
 		}
 		if timeout == nil {
 			timer := time.NewTimer(maxConnectWait)
@@ -169,19 +174,19 @@
 // reserveOrDial returns a connection with a stream reserved, or the pending dial
 // to wait for. If all connections are busy, it also starts a dial for later
 // calls.
-func (p *NodePool) reserveOrDial(n *nodeConns, address qhid.Address) (*http.ClientConn, *pendingDial) {
+func (p *NodePool) reserveOrDial(n *nodeConns, address qhid.Address) (*nodeConn, *pendingDial) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	client := n.reserve(time.Now())
-	if client != nil && (client.InFlight() <= maxStreamsBeforeDial || len(n.conns) >= maxNodeConns) {
-		return client, nil
+	conn := n.reserve(time.Now())
+	if conn != nil && (conn.client.InFlight() <= maxStreamsBeforeDial || len(n.conns) >= maxNodeConns) {
+		return conn, nil
 	}
 	if n.dialing == nil {
 		pending := &pendingDial{done: make(chan struct{})}
 		n.dialing = pending
 		p.group.Go(func(ctx context.Context) { p.dial(ctx, n, address, pending) })
 	}
-	return client, n.dialing
+	return conn, n.dialing
 }
 
 // dial opens a connection to a node and adds it to n. The connection is used only
@@ -208,7 +213,7 @@
 
 // reserve reserves a stream on the connection with the fewest calls that is not
 // suspect, or returns nil. It also removes closed connections. The lock is held.
-func (n *nodeConns) reserve(now time.Time) *http.ClientConn {
+func (n *nodeConns) reserve(now time.Time) *nodeConn {
 	n.removeClosed()
 	var best *nodeConn
 	for _, c := range n.conns {
@@ -222,7 +227,7 @@
 	if best == nil || best.client.Reserve() != nil {
 		return nil
 	}
-	return best.client
+	return best
 }
 
 // removeClosed removes connections that are closed, or that accept no new calls
--- a/qhconn/nodes_test.go
+++ b/qhconn/nodes_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/gomega"
 	"golang.org/x/net/http2"
 
+	"quetzalhaven.dev/qhclock"
 	"quetzalhaven.dev/qhforward"
 	"quetzalhaven.dev/qhid"
 )
@@ -60,7 +61,7 @@
 func get(pool *NodePool, address string) (string, error) {
 	req, err := http.NewRequest("GET", "http://"+address+"/", http.NoBody)
 	Expect(err).NotTo(HaveOccurred())
-	resp, err := pool.RoundTrip(qhid.Address(address), req)
+	resp, err := pool.RoundTrip(qhid.Address(address), qhclock.Now(), req)
 	if err != nil {
 		return "", err
 	}
--- a/qhheader/qhheader.go
+++ b/qhheader/qhheader.go
@@ -74,6 +74,9 @@
 	// NodeReachedTarget is set if the call was sent to a target, whether or not
 	// the target executed it.
 	NodeReachedTarget = InternalPrefix + "Arrived"
+	// NodeSent carries when the durations in the other headers were measured, in
+	// whole milliseconds since the sender opened the connection.
+	NodeSent = InternalPrefix + "Sent"
 	// NodeRateLimit carries the rate limit of the target that the sender knows.
 	NodeRateLimit = InternalPrefix + "Limit"
 	// NodeLoad carries the number of running and queued calls of the target.
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -149,7 +149,7 @@
 		c.proxy.finishWithFailure(w, f, c.newDecision())
 		return
 	}
-	c.proxy.counters.countAddedLatency(time.Since(start) - resp.responseTime)
+	c.proxy.counters.addedLatency.add(time.Since(start) - resp.responseTime)
 	c.proxy.returns.Served(c.returnKey(), time.Now())
 	decision := c.newDecision()
 	decision.Target, decision.Node = c.endpoint.ID, c.endpoint.Node
--- a/qhproxy/fleet_test.go
+++ b/qhproxy/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"quetzalhaven.dev/qhconfig"
 	"quetzalhaven.dev/qhdecision"
+	"quetzalhaven.dev/qhforward"
 	"quetzalhaven.dev/qhguard"
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhhold"
@@ -130,6 +131,18 @@
 	return endpoint
 }
 
+// startBehindForwarder starts a target on a node that others reach through a forwarder.
+func (f *fleet) startBehindForwarder(on qhid.Node, slots int, handler http.HandlerFunc) *qhforward.Forwarder {
+	forwarder, stop, err := qhforward.New(context.Background(), qhid.Address(f.nodes[on].forwardedCalls.Listener.Addr().String()))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(stop)
+	f.startTarget("t1", "desk", on, slots, handler)
+	f.view.Load().Services["desk"][0].CallAddress = forwarder.Address()
+	return forwarder
+}
+
 // executionRecorder counts the executions at targets by request ID.
 type executionRecorder struct {
 	mu        sync.Mutex
--- a/qhproxy/nodes.go
+++ b/qhproxy/nodes.go
@@ -27,6 +27,7 @@
 		Node:    qhid.Node(r.Header.Get(qhheader.NodeFrom)),
 	}
 	w.Header().Set(qhheader.RequestID, string(d.Request))
+	arrived := arrivalOf(r)
 	if f := p.admitForwarded(time.Now()); f != nil {
 		p.finishWithFailure(w, f, d)
 		return
@@ -40,6 +41,7 @@
 	defer cancel()
 	p.reportNodeVersion(r.Header, d.Node)
 	out := p.outgoingFromNode(r)
+	out.arrived = arrived
 	release, f := p.admitBody(ctx, out)
 	defer release()
 	var resp *targetResponse
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"quetzalhaven.dev/qhbalance"
+	"quetzalhaven.dev/qhclock"
 	"quetzalhaven.dev/qhdeadline"
 	"quetzalhaven.dev/qhdecision"
 	"quetzalhaven.dev/qhguard"
@@ -158,6 +159,7 @@
 
 // sendToNode sends the call to the endpoint's node.
 func (c *call) sendToNode(ctx context.Context, endpoint *qhmember.Endpoint, out *outgoingCall) (*targetResponse, *failure) {
+	prepared := qhclock.Now()
 	setHeaders(out.header,
 		headerField{qhheader.NodeFrom, string(c.proxy.Self)},
 		headerField{qhheader.NodeTarget, string(endpoint.ID)},
@@ -176,7 +178,7 @@
 		// room, so that a refused call can be sent to another one.
 		out.header["Expect"] = []string{"100-continue"}
 	}
-	resp, err := c.proxy.nodePool.RoundTrip(endpoint.CallAddress, out.newRequest(ctx, endpoint.CallAddress)) //nolint:bodyclose // forwardResponse closes it
+	resp, err := c.proxy.nodePool.RoundTrip(endpoint.CallAddress, prepared, out.newRequest(ctx, endpoint.CallAddress)) //nolint:bodyclose // forwardResponse closes it
 	if err != nil {
 		return nil, roundTripFailure(ctx, err)
 	}
--- a/qhproxy/server.go
+++ b/qhproxy/server.go
@@ -45,6 +45,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	server := p.newServer(p.NodesHandler(), &protocols)
 	server.IdleTimeout = nodeIdleTimeout
+	server.ConnContext = withTransit
 	server.MaxHeaderBytes = qhconn.HTTP2HeaderFactor * (server.MaxHeaderBytes + internalHeaderBytes)
 	server.HTTP2.SendPingTimeout = nodePingInterval
 	return server
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -34,6 +34,8 @@
 	// knownRateLimit is the rate limit of the target as the sending node knows it,
 	// for a target's node that has restarted; 0 for none.
 	knownRateLimit qhid.CallsPerSecond
+	// arrived is the arrival of a call that another node forwarded, else nil.
+	arrived *arrival
 	// admission is the admission request for the target's guard. The target's
 	// node sets its limits.
 	admission qhguard.AdmissionRequest
@@ -132,6 +134,7 @@
 	ctx, stopTimer, release := withFirstByteTimeout(ctx, out.firstByteTimeout)
 	p.Dialect.SetRemainingTime(out.header, timeUntilDeadline(ctx))
 	p.Dialect.SetTarget(out.header, target, out.caller, tenantName(tenant))
+	p.observeDelay(out.arrived, qhid.Request(out.header.Get(qhheader.RequestID)), target)
 	start := time.Now()
 	resp, err := guard.Conns().RoundTrip(out.newRequest(withPermission(ctx, check), info.Address)) //nolint:bodyclose // forwardResponse closes it
 	stopTimer()
