qhtransit, qhproxy: Calls that were delayed on their way run only if their callers still wait

What callers saw: calls that they had given up ran up to 1.7 s later, 33 in one moment.

Cause: the target's node started the clock of a forwarded call when it read it, and took the call at once although its reset stood right behind it. A path that was silent and then delivers, a slow link and a node that stood still deliver calls whose callers left long ago. The class: what is read is taken for what is now. In a queue it is the same: a silent path brings no reset.

Ruled out: a relative deadline alone (callers leave before it, and it says nothing about the way); wall clocks (they are stepped); dropping what is old (drops live calls on slow links); giving connections up with a reset (too late, and no help if the receiver stood still).

Change: a call whose caller is not known to have waited within the last 0.4 s is refused as delayed, not executed, when it is read or at the first byte to the target; its sender sends it again to the same target if its caller still waits, and that one is taken.

--- a/qhconn/nodes.go
+++ b/qhconn/nodes.go
@@ -22,9 +22,9 @@
 	PingIdleTimeout = 500 * time.Millisecond
 	// PingTimeout is how long the acknowledgement of a ping may take.
 	PingTimeout = time.Second
-	// suspectAfter is how long a connection may receive nothing, not even the
+	// SuspectAfter is how long a connection may receive nothing, not even the
 	// acknowledgement of a ping, before it is suspect, so that new calls use another one.
-	suspectAfter = PingIdleTimeout + PingTimeout/4
+	SuspectAfter = PingIdleTimeout + PingTimeout/4
 	// streamBufferSize and connBufferSize are the flow-control windows in bytes.
 	// The connection window covers all streams, so that a slow stream does not
 	// stall the others.
@@ -245,7 +245,7 @@
 // isSuspect reports whether the connection has received nothing for so long that a ping
 // acknowledgement is overdue.
 func (c *nodeConn) isSuspect(now time.Time) bool {
-	return c.tracked.sinceRead(now) > suspectAfter
+	return c.tracked.sinceRead(now) > SuspectAfter
 }
 
 // close closes all connections.
--- a/qhconn/nodes_test.go
+++ b/qhconn/nodes_test.go
@@ -113,7 +113,7 @@
 		pool := newTestNodePool()
 		Expect(get(pool, address)).To(Equal("whole"))
 		f.Blackhole()
-		time.Sleep(suspectAfter + (PingTimeout-suspectAfter+PingIdleTimeout)/2) // the connection is not closed yet
+		time.Sleep(SuspectAfter + (PingTimeout-SuspectAfter+PingIdleTimeout)/2) // the connection is not closed yet
 		Expect(get(pool, address)).To(Equal("whole"))
 		Expect(server.connCount.Load()).To(BeEquivalentTo(2))
 	})
--- a/qhdecision/decision.go
+++ b/qhdecision/decision.go
@@ -58,6 +58,7 @@
 	Overloaded          Reason = "overload"          // the node lacks processor time
 	LinkBusy            Reason = "link-busy"         // the link of the target's VM has no room for the request body in time
 	RateLimited         Reason = "rate-limit"        // the rate limit that the target names allows the call too late
+	Delayed             Reason = "delayed"           // the call was delayed on its way, and its caller may have left; its sender sends it again if not
 	Late                Reason = "late"              // the response would come after the deadline
 	CallerGone          Reason = "caller-gone"       // the caller closed its connection
 	DeadlineExceeded    Reason = "deadline"          // the deadline passed before the response began
--- a/qhheader/qhheader.go
+++ b/qhheader/qhheader.go
@@ -77,6 +77,9 @@
 	// NodeSent carries when the durations in the other headers were measured, in
 	// whole milliseconds since the sender opened the connection.
 	NodeSent = InternalPrefix + "Sent"
+	// NodeDelayed carries the qhtransit.Refusal of a call that was refused because it was
+	// delayed, and of that call when it is sent again.
+	NodeDelayed = InternalPrefix + "Delayed"
 	// NodeRateLimit carries the rate limit of the target that the sender knows.
 	NodeRateLimit = InternalPrefix + "Limit"
 	// NodeLoad carries the number of running and queued calls of the target.
--- a/qhnode/qhserve/listen.go
+++ b/qhnode/qhserve/listen.go
@@ -84,7 +84,7 @@
 		Metrics:  n.metrics,
 	})
 	n.serveOn(n.proxy.CallersListener(open.callers), n.proxy.CallersServer())
-	n.serveOn(open.forwardedCalls, n.proxy.NodesServer())
+	n.serveOn(n.proxy.NodesListener(open.forwardedCalls), n.proxy.NodesServer())
 	n.serveOn(open.targets, controlServer(n.targetsHandler()))
 	n.serveOn(open.operators, controlServer(operators.Handler()))
 	if open.ready != nil {
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -56,6 +56,9 @@
 	objectiveDeadline time.Time
 	// attempt is the number of the current attempt, from 1.
 	attempt int
+	// delayed is the qhtransit.Refusal that the current attempt answers; empty if it is not
+	// sent again for a refusal.
+	delayed string
 	// endpoint is the endpoint of the latest attempt.
 	endpoint *qhmember.Endpoint
 	// earliestFree is the endpoint that was busy but expects a free slot before
--- a/qhproxy/failure.go
+++ b/qhproxy/failure.go
@@ -43,6 +43,9 @@
 	// RetryAfter is how long the caller should wait before a retry; 0 means
 	// that a retry does not help.
 	RetryAfter time.Duration
+	// Delayed is the qhtransit.Refusal of a forwarded call that was refused for its age;
+	// empty for other failures.
+	Delayed string
 	// Challenge is the value of the WWW-Authenticate header; empty for none.
 	Challenge string
 	// Detail is the human-readable explanation.
--- a/qhproxy/fleet_test.go
+++ b/qhproxy/fleet_test.go
@@ -80,7 +80,7 @@
 		Snapshot: f.snapshot.Load, View: f.view.Load, LocalGuard: guards.Get, EndTargetCalls: guards.EndCallsBy, LinkSpeed: f.linkSpeed,
 	})
 	n.proxy = proxy
-	n.callers, n.forwardedCalls = startServer(proxy.CallersServer(), proxy.CallersListener), startServer(proxy.NodesServer(), nil)
+	n.callers, n.forwardedCalls = startServer(proxy.CallersServer(), proxy.CallersListener), startServer(proxy.NodesServer(), proxy.NodesListener)
 	f.nodes[id] = n
 	f.t.Cleanup(func() {
 		n.callers.CloseClientConnections()
--- a/qhproxy/nodes.go
+++ b/qhproxy/nodes.go
@@ -28,20 +28,32 @@
 	}
 	w.Header().Set(qhheader.RequestID, string(d.Request))
 	arrived := arrivalOf(r)
+	if !arrived.IsCurrent(arrived.Received) {
+		p.observeDelay(arrived, d.Request, d.Target)
+		p.refuseForwarded(w, delayedFailure(), d)
+		return
+	}
 	if f := p.admitForwarded(time.Now()); f != nil {
 		p.finishWithFailure(w, f, d)
 		return
 	}
 	remaining, f := p.remainingTime(r, qhdialect.Default().RemainingTime, qhdeadline.Max) // the sending node applied the route's timeout
+	if f == nil && remaining <= arrived.Age {
+		f = lateFailure()
+	}
 	if f != nil {
 		p.finishWithFailure(w, f, d)
 		return
 	}
+	remaining -= arrived.Age
 	ctx, cancel := context.WithTimeout(r.Context(), remaining)
 	defer cancel()
 	p.reportNodeVersion(r.Header, d.Node)
 	out := p.outgoingFromNode(r)
 	out.arrived = arrived
+	if !out.admission.ObjectiveDeadline.IsZero() {
+		out.admission.ObjectiveDeadline = out.admission.ObjectiveDeadline.Add(-arrived.Age)
+	}
 	release, f := p.admitBody(ctx, out)
 	defer release()
 	var resp *targetResponse
@@ -51,16 +63,25 @@
 	setVersionHeader(w.Header(), p.Snapshot())
 	w.Header().Set(qhheader.NodeLoad, strconv.Itoa(p.targetLoad(d.Target)))
 	if f != nil {
-		if f.ReachedTarget {
-			w.Header().Set(qhheader.NodeReachedTarget, "1")
-		}
-		p.finishWithFailure(w, f, d)
+		p.refuseForwarded(w, f, d)
 		return
 	}
 	setHeaders(w.Header(), headerField{qhheader.NodeResponseTime, strconv.FormatInt(resp.responseTime.Microseconds(), 10)})
 	p.forwardResponse(w, resp, d)
 }
 
+// refuseForwarded answers a forwarded call that has no response of a target, with what only
+// the sending node needs to know.
+func (p *Proxy) refuseForwarded(w http.ResponseWriter, f *failure, d qhdecision.Decision) {
+	if f.ReachedTarget {
+		w.Header().Set(qhheader.NodeReachedTarget, "1")
+	}
+	if f.Delayed != "" {
+		w.Header().Set(qhheader.NodeDelayed, f.Delayed)
+	}
+	p.finishWithFailure(w, f, d)
+}
+
 // admitBody waits until the link has room for the body of the call. The returned
 // function ends the transfer and may be called at any time; the end of the body
 // ends it too.
@@ -179,7 +200,12 @@
 		return qhdeadline.Shortest(limit), nil
 	}
 	if remaining <= 0 {
-		return 0, notExecuted(qhdecision.Late, http.StatusGatewayTimeout, defaultRetryAfter, "the call arrived after its deadline; allow more time")
+		return 0, lateFailure()
 	}
 	return qhdeadline.Shortest(remaining, limit), nil
 }
+
+// lateFailure returns the failure of a call that arrived after its deadline.
+func lateFailure() *failure {
+	return notExecuted(qhdecision.Late, http.StatusGatewayTimeout, defaultRetryAfter, "the call arrived after its deadline; allow more time")
+}
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -95,6 +95,8 @@
 		qhbalance.RecordFullFor(endpoint, f.RetryAfter, time.Now())
 	case qhdecision.Quarantined: // says nothing about other calls
 		endpoint.Stats.Refusals.Add(1)
+	case qhdecision.Delayed: // says nothing about the endpoint
+		endpoint.Stats.Refusals.Add(1)
 	case qhdecision.LinkBusy: // says nothing about calls without a body
 		endpoint.Stats.Refusals.Add(1)
 	case qhdecision.Superseded, qhdecision.NotExposed:
@@ -135,11 +137,11 @@
 	c.proxy.Log.Warn("endpoint ejected", zap.String("target", string(endpoint.ID)), zap.Duration("for", duration), zap.String("cause", detail))
 }
 
-// dispatch sends the call to the endpoint: directly if it is on this VM,
+// dispatchOnce sends the call to the endpoint: directly if it is on this VM,
 // otherwise through its node.
-func (c *call) dispatch(ctx context.Context, endpoint *qhmember.Endpoint, queueWait time.Duration) (*targetResponse, *failure) {
+func (c *call) dispatchOnce(ctx context.Context, endpoint *qhmember.Endpoint, queueWait time.Duration) (*targetResponse, *failure) {
 	out := &outgoingCall{request: c.request, body: c.body, header: c.request.Header, firstByteTimeout: c.firstByteTimeout(), caller: c.proxy.LocalService(), key: c.key, fingerprint: c.fingerprint(), admission: c.admissionRequest(queueWait)}
-	if c.attempt > 1 {
+	if c.attempt > 1 || c.delayed != "" {
 		out.header = c.request.Header.Clone() // an earlier attempt may still read the headers
 	}
 	if endpoint.Node != c.proxy.Self {
@@ -172,6 +174,10 @@
 		headerField{qhheader.Timeout, qhdeadline.Format(timeUntilDeadline(ctx))},
 	)
 	setAdmissionHeaders(out.header, out.admission)
+	delete(out.header, qhheader.NodeDelayed)
+	if c.delayed != "" {
+		out.header.Set(qhheader.NodeDelayed, c.delayed)
+	}
 	c.proxy.setRateLimitHeader(out.header, endpoint.ID)
 	if out.body.length < 0 || out.body.length > minGatedBody {
 		// The node asks for the body once the call is admitted and its link has
@@ -212,6 +218,7 @@
 		Detail:  readDetail(resp),
 	}
 	f.ReachedTarget = resp.Header.Get(qhheader.NodeReachedTarget) != ""
+	f.Delayed = resp.Header.Get(qhheader.NodeDelayed)
 	if outcome == qhheader.OutcomeNotExecuted {
 		f.Outcome = qhheader.OutcomeNotExecuted
 	}
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -14,6 +14,7 @@
 	"quetzalhaven.dev/qhguard"
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhtransit"
 )
 
 // outgoingCall is one attempt to send a call to a target or to its node.
@@ -35,7 +36,7 @@
 	// for a target's node that has restarted; 0 for none.
 	knownRateLimit qhid.CallsPerSecond
 	// arrived is the arrival of a call that another node forwarded, else nil.
-	arrived *arrival
+	arrived *qhtransit.Arrival
 	// admission is the admission request for the target's guard. The target's
 	// node sets its limits.
 	admission qhguard.AdmissionRequest
@@ -136,10 +137,10 @@
 	p.Dialect.SetTarget(out.header, target, out.caller, tenantName(tenant))
 	p.observeDelay(out.arrived, qhid.Request(out.header.Get(qhheader.RequestID)), target)
 	start := time.Now()
-	resp, err := guard.Conns().RoundTrip(out.newRequest(withPermission(ctx, check), info.Address)) //nolint:bodyclose // forwardResponse closes it
+	resp, err := guard.Conns().RoundTrip(out.newRequest(qhconn.WithCheckBeforeWrite(ctx, startCheck(ctx, out.arrived, check)), info.Address)) //nolint:bodyclose // forwardResponse closes it
 	stopTimer()
 	if err != nil {
-		if f = p.permissionFailure(err); f == nil {
+		if f = p.startFailure(err); f == nil {
 			f = roundTripFailure(ctx, err)
 		}
 		p.observeBrokenConnection(guard, out.fingerprint, f)
--- a/qhproxy/tenant.go
+++ b/qhproxy/tenant.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"quetzalhaven.dev/qhconfig"
-	"quetzalhaven.dev/qhconn"
 	"quetzalhaven.dev/qhdecision"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhkey"
@@ -137,15 +136,6 @@
 	return nil
 }
 
-// withPermission returns a context in which a request is only sent if check returns no
-// error when its first byte is written.
-func withPermission(ctx context.Context, check func() error) context.Context {
-	if check == nil {
-		return ctx
-	}
-	return qhconn.WithCheckBeforeWrite(ctx, check)
-}
-
 // tenantName returns the name of a tenant, or an empty one.
 func tenantName(tenant *qhconfig.Tenant) qhid.Tenant {
 	if tenant == nil {
--- a/qhproxy/transit.go
+++ b/qhproxy/transit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -10,8 +11,10 @@
 	"go.uber.org/zap"
 
 	"quetzalhaven.dev/qhclock"
+	"quetzalhaven.dev/qhdecision"
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmember"
 	"quetzalhaven.dev/qhtransit"
 )
 
@@ -19,43 +22,125 @@
 // which on it is logged.
 const noticedDelay = 500 * time.Millisecond
 
-// transitKey is the context key of the *qhtransit.Conn of another node's connection.
-type transitKey struct{}
+// nodeListener accepts connections of other nodes as *nodeConn.
+type nodeListener struct{ net.Listener }
 
-// withTransit is the ConnContext function of the nodes' server.
-func withTransit(ctx context.Context, _ net.Conn) context.Context {
-	return context.WithValue(ctx, transitKey{}, qhtransit.NewConn(qhclock.Now()))
+// Accept waits for the next connection.
+func (l nodeListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &nodeConn{Conn: conn, transit: qhtransit.NewConn(qhclock.Now())}, nil
 }
 
-// arrival is the arrival of a call that another node forwarded.
-type arrival struct {
-	received qhclock.Instant
-	// age is how long the call was delayed on its way; 0 if that is not known.
-	age time.Duration
+// nodeConn is a connection of another node.
+type nodeConn struct {
+	net.Conn
+	transit *qhtransit.Conn
 }
 
-// arrivalOf returns the arrival of a call that was just received.
-func arrivalOf(r *http.Request) *arrival {
-	a := &arrival{received: qhclock.Now()}
-	conn, _ := r.Context().Value(transitKey{}).(*qhtransit.Conn)
-	sent, err := strconv.ParseInt(r.Header.Get(qhheader.NodeSent), 10, 64)
-	if conn != nil && err == nil { // nodes of earlier releases do not say when they sent a call
-		a.age = conn.Age(time.Duration(sent)*time.Millisecond, a.received)
+// Read reads into b and records that bytes were received.
+func (c *nodeConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.transit.Hear(qhclock.Now())
 	}
-	return a
+	return n, err
+}
+
+// NodesListener wraps the listener that the NodesServer serves on.
+func (p *Proxy) NodesListener(listener net.Listener) net.Listener { return nodeListener{listener} }
+
+// transitKey is the context key of the *qhtransit.Conn of another node's connection.
+type transitKey struct{}
+
+// withTransit is the ConnContext function of the nodes' server, which serves on a
+// NodesListener.
+func withTransit(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, transitKey{}, conn.(*nodeConn).transit)
+}
+
+// arrivalOf returns the arrival of a call of another node that was just received.
+func arrivalOf(r *http.Request) *qhtransit.Arrival {
+	conn := r.Context().Value(transitKey{}).(*qhtransit.Conn)
+	sent, err := strconv.ParseInt(r.Header.Get(qhheader.NodeSent), 10, 64)
+	arrival := conn.Arrive(qhtransit.Stamp{
+		Sent: time.Duration(sent) * time.Millisecond, Known: err == nil, // earlier releases do not set it
+		Refused: r.Header.Get(qhheader.NodeDelayed),
+	}, qhclock.Now())
+	return &arrival
 }
 
 // observeDelay counts and logs how long a forwarded call took until it is sent to its
 // target.
-func (p *Proxy) observeDelay(a *arrival, request qhid.Request, target qhid.Target) {
+func (p *Proxy) observeDelay(a *qhtransit.Arrival, request qhid.Request, target qhid.Target) {
 	if a == nil {
 		return
 	}
-	held := qhclock.Now().Since(a.received)
-	p.counters.forwardedAge.add(a.age)
+	held := qhclock.Now().Since(a.Received)
+	p.counters.forwardedAge.add(a.Age)
 	p.counters.forwardedHeld.add(held)
-	if a.age+held >= noticedDelay {
+	if a.Age+held >= noticedDelay {
 		p.Log.Warn("forwarded call delayed", zap.String("request", string(request)), zap.String("target", string(target)),
-			zap.Duration("age", a.age), zap.Duration("held", held))
+			zap.Duration("age", a.Age), zap.Duration("held", held))
+	}
+}
+
+// Errors of a call that is not passed to its target.
+var (
+	errDelayed = errors.New("the call was delayed, and its caller may have left")   //nolint:gochecknoglobals // a sentinel
+	errExpired = errors.New("the deadline passed before the call reached a target") //nolint:gochecknoglobals // a sentinel
+)
+
+// startCheck returns a function that reports why a call must not reach its target at the
+// moment when it is asked, or nil if it may. permission may be nil.
+func startCheck(ctx context.Context, arrival *qhtransit.Arrival, permission func() error) func() error {
+	deadline, _ := ctx.Deadline()
+	return func() error {
+		switch {
+		case ctx.Err() != nil:
+			return context.Cause(ctx)
+		case time.Until(deadline) <= 0: // a process that stood still runs its timers late
+			return errExpired
+		case arrival != nil && !arrival.IsCurrent(qhclock.Now()):
+			return errDelayed
+		case permission != nil:
+			return permission()
+		}
+		return nil
+	}
+}
+
+// startFailure returns the failure of a call that a check before its start stopped, or nil
+// if err has another cause.
+func (p *Proxy) startFailure(err error) *failure {
+	switch {
+	case errors.Is(err, errDelayed):
+		return delayedFailure()
+	case errors.Is(err, errExpired):
+		return notExecuted(qhdecision.DeadlineExceeded, http.StatusServiceUnavailable, defaultRetryAfter, errExpired.Error())
+	}
+	return p.permissionFailure(err)
+}
+
+// delayedFailure returns the failure of a forwarded call that its sender has to send again
+// if its caller still waits.
+func delayedFailure() *failure {
+	f := notExecuted(qhdecision.Delayed, http.StatusServiceUnavailable, defaultRetryAfter, errDelayed.Error())
+	f.Delayed = qhtransit.Refusal(qhclock.Now())
+	return f
+}
+
+// dispatch sends the call to the endpoint, once more if the endpoint's node asks whether
+// the caller still waits.
+func (c *call) dispatch(ctx context.Context, endpoint *qhmember.Endpoint, queueWait time.Duration) (*targetResponse, *failure) {
+	c.delayed = ""
+	resp, f := c.dispatchOnce(ctx, endpoint, queueWait)
+	if f == nil || f.Delayed == "" || ctx.Err() != nil || !c.canFinish(ctx) || !c.body.startNextAttempt() {
+		return resp, f
 	}
+	c.delayed = f.Delayed
+	c.recordRetry(f, endpoint)
+	return c.dispatchOnce(ctx, endpoint, queueWait)
 }
--- a/qhproxy/upload_test.go
+++ b/qhproxy/upload_test.go
@@ -290,9 +290,10 @@
 		if endpoint.ID != target {
 			continue
 		}
-		server := f.nodes[endpoint.Node].proxy.NodesServer()
+		proxy := f.nodes[endpoint.Node].proxy
+		server := proxy.NodesServer()
 		counting := &countingListener{Listener: listener, received: received}
-		go func() { _ = server.Serve(counting) }()
+		go func() { _ = server.Serve(proxy.NodesListener(counting)) }()
 		endpoint.CallAddress = qhid.Address(listener.Addr().String())
 		return func() {
 			_ = server.Close()
--- a/qhtransit/conn_test.go
+++ b/qhtransit/conn_test.go
@@ -27,7 +27,20 @@
 // deliver returns the age of a call that is sent the given time after the opening and takes
 // the given time.
 func (p *path) deliver(sent, transit time.Duration) time.Duration {
-	return p.conn.Age(sent, p.opened.Add(sent+p.offset+transit))
+	return p.arrive(sent, transit, "").Age
+}
+
+// arrive delivers a call that brings the text of a refusal, if any.
+func (p *path) arrive(sent, transit time.Duration, refused string) Arrival {
+	now := p.received(sent, transit)
+	p.conn.Hear(now)
+	return p.conn.Arrive(Stamp{Sent: sent, Known: true, Refused: refused}, now)
+}
+
+// received returns when something that is sent the given time after the opening and takes the
+// given time is received.
+func (p *path) received(sent, transit time.Duration) qhclock.Instant {
+	return p.opened.Add(sent + p.offset + transit)
 }
 
 func TestAgeOfDelayedCallDoesNotDependOnClocks(t *testing.T) {
@@ -66,7 +79,7 @@
 	const drift = 1e-4
 	p := open(0, 0)
 	for sent := time.Duration(0); sent < time.Hour; sent += time.Second {
-		age := p.conn.Age(sent, p.opened.Add(latency+time.Duration(float64(sent)*(1+drift))))
+		age := p.conn.age(sent, p.opened.Add(latency+time.Duration(float64(sent)*(1+drift))))
 		g.Expect(age).To(BeNumerically("<=", 2*(window+time.Second)/10000))
 	}
 }
@@ -78,9 +91,25 @@
 		for range rapid.IntRange(1, 50).Draw(t, "calls") {
 			sent += time.Duration(rapid.Int64Range(0, int64(window)).Draw(t, "pause"))
 			transit := latency + time.Duration(rapid.Int64Range(0, int64(3*time.Second)).Draw(t, "delay"))
-			if age := p.deliver(sent, transit); age < 0 || age > transit {
+			refused := ""
+			if rapid.Bool().Draw(t, "refused") {
+				refused = Refusal(p.received(sent, -time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "response"))))
+			}
+			if age := p.arrive(sent, transit, refused).Age; age < 0 || age > transit {
 				t.Fatalf("age %s of a call that took %s", age, transit)
 			}
 		}
 	})
 }
+
+func TestClockThatJumpsIsCorrectedByOneRefusal(t *testing.T) {
+	g := NewWithT(t)
+	p := open(0, 0)
+	p.offset = time.Hour
+	g.Expect(p.deliver(time.Second, latency)).To(Equal(time.Hour))
+	refused := Refusal(p.received(time.Second, latency))
+	again := p.arrive(time.Second+latency, latency, refused)
+	g.Expect(again.Age).To(BeNumerically("<=", 2*latency))
+	g.Expect(again.IsCurrent(again.Received)).To(BeTrue())
+	g.Expect(p.deliver(2*time.Second, latency)).To(BeNumerically("<=", 2*latency))
+}
