qhproxy: Calls read together with the end of their callers' connections do not run

What callers saw: a node that stood still, or got no processor time, passed calls on whose callers had closed their connections meanwhile, also to other nodes, as fresh ones.

Cause: net/http looks for the end of a connection only once the handler of the call runs, and a call was sent without looking. It is the class of the delayed calls between nodes: what is read is taken for what is now.

Such a call is not sent and not tried elsewhere. A deadline is compared with the clock at the first byte, as timers run late after a standstill.

--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -147,6 +147,7 @@
 	if endpoint.Node != c.proxy.Self {
 		return c.sendToNode(ctx, endpoint, out)
 	}
+	out.callerGone = callerCheck(c.request, c.body)
 	removeInternalHeaders(out.header)
 	delete(out.header, "Expect")
 	resp, f := c.proxy.sendToTarget(ctx, endpoint.ID, out)
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -37,6 +37,9 @@
 	knownRateLimit qhid.CallsPerSecond
 	// arrived is the arrival of a call that another node forwarded, else nil.
 	arrived *qhtransit.Arrival
+	// callerGone reports whether the caller of a call that this node received from it has
+	// closed its connection; nil if that is not known.
+	callerGone func() bool
 	// admission is the admission request for the target's guard. The target's
 	// node sets its limits.
 	admission qhguard.AdmissionRequest
@@ -137,7 +140,7 @@
 	p.Dialect.SetTarget(out.header, target, out.caller, tenantName(tenant))
 	p.observeDelay(out.arrived, qhid.Request(out.header.Get(qhheader.RequestID)), target)
 	start := time.Now()
-	resp, err := guard.Conns().RoundTrip(out.newRequest(qhconn.WithCheckBeforeWrite(ctx, startCheck(ctx, out.arrived, check)), info.Address)) //nolint:bodyclose // forwardResponse closes it
+	resp, err := guard.Conns().RoundTrip(out.newRequest(qhconn.WithCheckBeforeWrite(ctx, startCheck(ctx, out, check)), info.Address)) //nolint:bodyclose // forwardResponse closes it
 	stopTimer()
 	if err != nil {
 		if f = p.startFailure(err); f == nil {
--- a/qhproxy/transit.go
+++ b/qhproxy/transit.go
@@ -89,13 +89,14 @@
 
 // Errors of a call that is not passed to its target.
 var (
-	errDelayed = errors.New("the call was delayed, and its caller may have left")   //nolint:gochecknoglobals // a sentinel
-	errExpired = errors.New("the deadline passed before the call reached a target") //nolint:gochecknoglobals // a sentinel
+	errDelayed    = errors.New("the call was delayed, and its caller may have left")   //nolint:gochecknoglobals // a sentinel
+	errExpired    = errors.New("the deadline passed before the call reached a target") //nolint:gochecknoglobals // a sentinel
+	errCallerGone = errors.New("the caller has closed its connection")                 //nolint:gochecknoglobals // a sentinel
 )
 
 // startCheck returns a function that reports why a call must not reach its target at the
 // moment when it is asked, or nil if it may. permission may be nil.
-func startCheck(ctx context.Context, arrival *qhtransit.Arrival, permission func() error) func() error {
+func startCheck(ctx context.Context, out *outgoingCall, permission func() error) func() error {
 	deadline, _ := ctx.Deadline()
 	return func() error {
 		switch {
@@ -103,8 +104,10 @@
 			return context.Cause(ctx)
 		case time.Until(deadline) <= 0: // a process that stood still runs its timers late
 			return errExpired
-		case arrival != nil && !arrival.IsCurrent(qhclock.Now()):
+		case out.arrived != nil && !out.arrived.IsCurrent(qhclock.Now()):
 			return errDelayed
+		case out.callerGone != nil && out.callerGone():
+			return errCallerGone
 		case permission != nil:
 			return permission()
 		}
@@ -118,6 +121,8 @@
 	switch {
 	case errors.Is(err, errDelayed):
 		return delayedFailure()
+	case errors.Is(err, errCallerGone):
+		return callerGoneFailure()
 	case errors.Is(err, errExpired):
 		return notExecuted(qhdecision.DeadlineExceeded, http.StatusServiceUnavailable, defaultRetryAfter, errExpired.Error())
 	}
@@ -135,9 +140,12 @@
 // dispatch sends the call to the endpoint, once more if the endpoint's node asks whether
 // the caller still waits.
 func (c *call) dispatch(ctx context.Context, endpoint *qhmember.Endpoint, queueWait time.Duration) (*targetResponse, *failure) {
+	if f := c.callerGone(ctx); f != nil {
+		return nil, f
+	}
 	c.delayed = ""
 	resp, f := c.dispatchOnce(ctx, endpoint, queueWait)
-	if f == nil || f.Delayed == "" || ctx.Err() != nil || !c.canFinish(ctx) || !c.body.startNextAttempt() {
+	if f == nil || f.Delayed == "" || ctx.Err() != nil || c.callerGone(ctx) != nil || !c.canFinish(ctx) || !c.body.startNextAttempt() {
 		return resp, f
 	}
 	c.delayed = f.Delayed
