qhproxy: Refusals as delayed say for how long, and a socket is looked at once

No decision changes. The specs "whose callers have left" and "The delay of forwarded calls" pass with the race detector.

--- a/qhproxy/caller_gone.go
+++ b/qhproxy/caller_gone.go
@@ -29,35 +29,34 @@
 	connEnded
 )
 
-// hasEnded reports whether the caller has closed the connection and nothing is left to be
-// read. It does not block.
-func (c *callerConn) hasEnded() bool {
+// state returns the state of the connection. It does not block.
+func (c *callerConn) state() connState {
 	c.mu.Lock()
-	ended := c.readErr != nil
+	ended, full := c.readErr != nil, len(c.buffered) >= maxReadAhead
 	c.mu.Unlock()
-	return ended || peekConn(c.Conn) == connEnded
+	if ended {
+		return connEnded
+	}
+	state := peekConn(c.Conn)
+	if state == connUnread && full { // no more is read ahead of the server
+		return connOpen
+	}
+	return state
 }
 
+// hasEnded reports whether the caller has closed the connection, as far as is known without
+// waiting.
+func (c *callerConn) hasEnded() bool { return c.state() == connEnded }
+
 // awaitEnd reports whether the caller has closed the connection. It waits for a moment until
 // the bytes before a possible end have been read.
 func (c *callerConn) awaitEnd(ctx context.Context) bool {
-	for range maxUnreadChecks {
-		if c.hasEnded() {
-			return true
-		}
-		if peekConn(c.Conn) != connUnread || c.isReadAheadFull() {
-			return false
-		}
+	state := c.state()
+	for i := 0; i < maxUnreadChecks && state == connUnread; i++ {
 		qhgroup.Sleep(ctx, unreadCheckInterval)
+		state = c.state()
 	}
-	return c.hasEnded()
-}
-
-// isReadAheadFull reports whether no more is read ahead of the server.
-func (c *callerConn) isReadAheadFull() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.buffered) >= maxReadAhead
+	return state == connEnded
 }
 
 // callerGone returns the failure of a call whose caller has closed its connection, or nil.
--- a/qhproxy/nodes.go
+++ b/qhproxy/nodes.go
@@ -30,7 +30,7 @@
 	arrived := arrivalOf(r)
 	if !arrived.IsCurrent(arrived.Received) {
 		p.observeDelay(arrived, d.Request, d.Target)
-		p.refuseForwarded(w, delayedFailure(), d)
+		p.refuseForwarded(w, delayedFailure(arrived), d)
 		return
 	}
 	if f := p.admitForwarded(time.Now()); f != nil {
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -143,7 +143,7 @@
 	resp, err := guard.Conns().RoundTrip(out.newRequest(qhconn.WithCheckBeforeWrite(ctx, startCheck(ctx, out, check)), info.Address)) //nolint:bodyclose // forwardResponse closes it
 	stopTimer()
 	if err != nil {
-		if f = p.startFailure(err); f == nil {
+		if f = p.startFailure(err, out.arrived); f == nil {
 			f = roundTripFailure(ctx, err)
 		}
 		p.observeBrokenConnection(guard, out.fingerprint, f)
--- a/qhproxy/transit.go
+++ b/qhproxy/transit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"strconv"
@@ -117,10 +118,10 @@
 
 // startFailure returns the failure of a call that a check before its start stopped, or nil
 // if err has another cause.
-func (p *Proxy) startFailure(err error) *failure {
+func (p *Proxy) startFailure(err error, arrival *qhtransit.Arrival) *failure {
 	switch {
 	case errors.Is(err, errDelayed):
-		return delayedFailure()
+		return delayedFailure(arrival)
 	case errors.Is(err, errCallerGone):
 		return callerGoneFailure()
 	case errors.Is(err, errExpired):
@@ -131,9 +132,11 @@
 
 // delayedFailure returns the failure of a forwarded call that its sender has to send again
 // if its caller still waits.
-func delayedFailure() *failure {
-	f := notExecuted(qhdecision.Delayed, http.StatusServiceUnavailable, defaultRetryAfter, errDelayed.Error())
-	f.Delayed = qhtransit.Refusal(qhclock.Now())
+func delayedFailure(arrival *qhtransit.Arrival) *failure {
+	now := qhclock.Now()
+	f := notExecuted(qhdecision.Delayed, http.StatusServiceUnavailable, defaultRetryAfter,
+		fmt.Sprintf("%v: %s on its way, then held for %s", errDelayed, arrival.Age, now.Since(arrival.Received)))
+	f.Delayed = qhtransit.Refusal(now)
 	return f
 }
 
