qhproxy: Calls behind a silent path are cancelled at their targets soon after it is given up

What callers and targets saw: a path between two nodes that is silent brings no reset, and a target worked on for 5.7 s after its caller had left.

Cause: the node of the target pinged only after 5 s without a byte; the sender gives its connection up after 1.5 s and cannot tell it. Ruled out: pings within half a second (several a second on each idle connection, and live calls cut where packets are lost).

Change: it pings after 0.75 s, later than the pings of the sender on a connection that works.

Evidence: the spec failed with 6.0 s from the silence on, and passes with 1.75 s.

--- a/qhproxy/abandoned_test.go
+++ b/qhproxy/abandoned_test.go
@@ -12,6 +12,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"quetzalhaven.dev/qhconn"
+	"quetzalhaven.dev/qhforward"
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhid"
 )
@@ -143,6 +145,24 @@
 		Expect(late).To(BeZero(), "of %d callers that left; the longest %s after its caller", len(left), longest)
 	})
 
+	// Guards against targets that work on for callers that have left behind a silent path.
+	It("are cancelled at their targets half a second after the silent connection counts as broken", func() {
+		begun, cancelled := make(chan time.Time, 1), make(chan time.Time, 1)
+		var forwarder *qhforward.Forwarder
+		forwarder = f.startBehindForwarder("b", 1, func(_ http.ResponseWriter, r *http.Request) {
+			forwarder.Pause()
+			begun <- time.Now()
+			<-r.Context().Done()
+			cancelled <- time.Now()
+		})
+		ctx, leave := context.WithTimeout(context.Background(), callerPatience)
+		defer leave()
+		Expect(doCall(ctx, f.nodes["a"], http.MethodPost, "/orders", "left", nil).err).To(HaveOccurred())
+		const brokenAfter = nodePingInterval + qhconn.PingTimeout
+		Expect(brokenAfter).To(BeNumerically("<", 2*time.Second))
+		Expect((<-cancelled).Sub(<-begun)).To(BeNumerically("<=", brokenAfter+maxRunAfterLeaving))
+	})
+
 	// Guards against calls that are read together with the end of their connection and run all the same.
 	DescribeTable("do not run when their node reads them together with the end of their connections", func(on qhid.Node, requests int) {
 		f.startTarget("t1", "desk", on, abandonedCallers, func(_ http.ResponseWriter, r *http.Request) { runs.add(r) })
--- a/qhproxy/server.go
+++ b/qhproxy/server.go
@@ -22,9 +22,9 @@
 	// accepts somewhat more than MaxHeaderBytes from a caller.
 	internalHeaderBytes = 8 << 10
 	// nodePingInterval is how long a connection of another node may be idle
-	// before it is pinged. The client side pings sooner while it has in-flight
-	// calls.
-	nodePingInterval = 5 * time.Second
+	// before it is pinged, so that the calls of a node that has given the connection up
+	// are cancelled at their targets soon after. The client side pings sooner.
+	nodePingInterval = qhconn.SuspectAfter
 )
 
 // CallersServer returns the server for callers, HTTP/1.1 and HTTP/2 without
