qhproxy: A call is sent again only after a refusal that says that it was not executed

Nodes always set both, so that nothing changes between them; a call that must not run twice does not rest on that any longer. The condition has a function of its own. The specs "whose callers have left" and "The delay of forwarded calls" pass.

--- a/qhproxy/attempts.go
+++ b/qhproxy/attempts.go
@@ -180,7 +180,7 @@
 // starts the body's next attempt, after which earlier attempts can no longer read
 // the body.
 func (c *call) mayRetry(ctx context.Context, f *failure) bool {
-	if f.Reason == qhdecision.Quarantined || f.Reason == qhdecision.CallerGone { // at all targets of the service
+	if f.Reason == qhdecision.Quarantined || f.Reason == qhdecision.CallerGone { // no target makes a difference
 		return false
 	}
 	if c.targetAttempts >= c.maxTargetAttempts() || ctx.Err() != nil || !c.canFinish(ctx) || !c.body.startNextAttempt() {
--- a/qhproxy/transit.go
+++ b/qhproxy/transit.go
@@ -148,10 +148,17 @@
 	}
 	c.delayed = ""
 	resp, f := c.dispatchOnce(ctx, endpoint, queueWait)
-	if f == nil || f.Delayed == "" || ctx.Err() != nil || c.callerGone(ctx) != nil || !c.canFinish(ctx) || !c.body.startNextAttempt() {
+	if f == nil || !c.maySendAgain(ctx, f) {
 		return resp, f
 	}
 	c.delayed = f.Delayed
 	c.recordRetry(f, endpoint)
 	return c.dispatchOnce(ctx, endpoint, queueWait)
 }
+
+// maySendAgain reports whether the call may be sent to the same endpoint again after the
+// failure, because its node asks whether the caller still waits and it does.
+func (c *call) maySendAgain(ctx context.Context, f *failure) bool {
+	asked := f.Delayed != "" && f.Outcome == qhheader.OutcomeNotExecuted
+	return asked && ctx.Err() == nil && c.callerGone(ctx) == nil && c.canFinish(ctx) && c.body.startNextAttempt()
+}
