qhfeed: The spec of spread clients waits until no reader is skipped

Cause: a client that asks a reader before it has begun to serve is told so and skips it for 3 s, rightly; the spec looks at the choices as soon as the nodes know each other, and then skips the client's other reader itself.

Not the product: a client without readers watches the store, which is what skips are for.

--- a/qhfeed/reader_test.go
+++ b/qhfeed/reader_test.go
@@ -79,6 +79,19 @@
 	return list
 }
 
+// skippedReaders returns how many readers are skipped, over all nodes.
+func (z *testZone) skippedReaders() int {
+	skipped := 0
+	for _, node := range z.nodes {
+		for _, reader := range readersInZone(node.members.View().Entries, node.members.Self().Zone) {
+			if node.feed.isSkipped(reader.Node) {
+				skipped++
+			}
+		}
+	}
+	return skipped
+}
+
 func (z *testZone) versions() []qhid.Version {
 	var list []qhid.Version
 	for _, node := range z.nodes {
@@ -149,6 +162,8 @@
 	})
 
 	It("spreads the clients over the readers", func() {
+		// Nodes skip readers that they asked before these had begun to serve.
+		Eventually(zone.skippedReaders).WithTimeout(eventuallyTimeout).Should(BeZero())
 		readers := zone.chosenReaders()
 		Expect(readers[:minReaders]).To(HaveEach(BeEmpty()))
 		Expect(readers[minReaders:]).NotTo(ContainElement(BeEmpty()))
