--- a/review/stand-2/upload.go
+++ b/review/stand-2/upload.go
@@ -32,7 +32,7 @@
 	}
 	defer f.stop()
 	for _, m := range f.machines {
-		m.server.downTime = 2 * time.Second
+		m.server.downTime, m.server.work = 2*time.Second, 130*time.Millisecond
 		if trouble {
 			m.server.poisonBody = poisonMark
 		}
@@ -95,7 +95,7 @@
 	f.say("alone of its length: %d of %d requests reached servers, %d of them later than contactS after the third crash", reached, uploadRounds, late)
 
 	var done sync.WaitGroup
-	stop, served := make(chan struct{}), 0
+	stop, served, failed := make(chan struct{}), 0, make(map[string]bool)
 	var mu sync.Mutex
 	for _, m := range f.machines { // uploads of the same path and length with other bytes
 		done.Go(func() {
@@ -105,11 +105,14 @@
 					return
 				case <-time.After(250 * time.Millisecond):
 				}
-				if m.send("POST", "charts.example", uploadPath, time.Second, nil, upload("part of a chart", uploadBytes)).status == 200 {
-					mu.Lock()
+				r := m.send("POST", "charts.example", uploadPath, time.Second, nil, upload("part of a chart", uploadBytes))
+				mu.Lock()
+				if r.status == 200 {
 					served++
-					mu.Unlock()
+				} else {
+					failed[r.id] = true
 				}
+				mu.Unlock()
 			}
 		})
 	}
@@ -120,6 +123,7 @@
 	done.Wait()
 	f.say("among others of its length, of which %d were served: %d of %d requests reached servers and %d servers crashed; %d retries reached servers later than contactS after the third crash",
 		served, reached, uploadRounds, crashes()-before, late)
+	f.say("%d of the others were at work at a server and got no success", reachedBy(failed))
 	switch {
 	case served < 20 || !trouble && reached != uploadRounds:
 		f.say("too few requests were served to judge")
