--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -26,6 +26,7 @@
 		"forgotten-crashes":   forgottenCrashes,
 		"crashing-upload":     crashingUpload,
 		"crashing-split":      crashingSplit,
+		"crashing-abandoned":  crashingAbandoned,
 	}
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE ROOT RECORD")
--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -26,6 +26,8 @@
 	// is back after downTime. An empty one crashes nothing.
 	poison     string
 	poisonBody string
+	// poisonTime is how long the server works on such a request until it crashes.
+	poisonTime time.Duration
 	downTime   time.Duration
 
 	mu    sync.Mutex
@@ -163,6 +165,7 @@
 	s.mu.Unlock()
 	s.machine.fleet.note("server %d runs %s %s", s.machine.index+1, id, r.URL.Path)
 	if s.poison != "" && strings.HasPrefix(r.URL.Path, s.poison) {
+		time.Sleep(s.poisonTime) // also after its connection has closed
 		s.crash(s.downTime)
 		return
 	}
