--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/stand-2"
 mkdir -p ../../target
-GOWORK=off GOFLAGS= go build -o ../../target/stand-2 .
+GOWORK=off GOTOOLCHAIN=local GOFLAGS= go build -buildvcs=false -o ../../target/stand-2 .
