--- a/review/stand-2/abandoned.go
+++ b/review/stand-2/abandoned.go
@@ -12,8 +12,12 @@
 	leavingPath     = "/slots/poison/leaving"
 	crashTime       = 300 * time.Millisecond
 	leaveTime       = 100 * time.Millisecond
-	abandonedRounds = 14
+	abandonedRounds = 12
 	abandonedGap    = 1500 * time.Millisecond
+	// leavingRun is how many of these requests come in a row, within 5.5 s, and calmTime the time
+	// until the next ones, in which nobody leaves.
+	leavingRun = 3
+	calmTime   = 4 * time.Second
 )
 
 // sendAndLeave sends a request to the node of a machine and closes the connection after
@@ -79,8 +83,9 @@
 		}
 		return count
 	}
-	// come sends the request again and again, at one machine after the other, and returns how
-	// many of the retries later than contactS after its third crash reached servers.
+	// come sends the request again and again, at one machine after the other, with a pause after
+	// each leavingRun, and returns how many of the retries later than contactS after its third
+	// crash reached servers.
 	come := func(send func(m *machine) string) (late, reached int) {
 		before, third := crashes(), time.Time{}
 		all, retries := make(map[string]bool), make(map[string]bool)
@@ -92,6 +97,9 @@
 				retries[id] = true
 			}
 			time.Sleep(time.Until(sent.Add(abandonedGap)))
+			if i%leavingRun == leavingRun-1 {
+				time.Sleep(calmTime)
+			}
 			if third.IsZero() && crashes() >= before+3 {
 				third = time.Now()
 			}
