--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -23,6 +23,7 @@
 func main() {
 	cases := map[string]func(root, record string, trouble bool) int{
 		"forgotten-departure": forgottenDeparture,
+		"restored-departure":  restoredDeparture,
 		"forgotten-crashes":   forgottenCrashes,
 		"crashing-upload":     crashingUpload,
 		"crashing-split":      crashingSplit,
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -42,12 +44,16 @@
 	objects  map[string]map[string]object
 	events   []event
 	changed  chan struct{}
-	// away has the machines that the store turns away with 503.
-	away map[int]bool
+	// away has the machines that the store turns away with 503, and allAway is set while it
+	// turns all away.
+	away    map[int]bool
+	allAway bool
+	// era rises each time that the store comes back from a copy.
+	era int
 }
 
 func newStore() *store {
-	return &store{revision: 100, objects: make(map[string]map[string]object), changed: make(chan struct{}), away: make(map[int]bool)}
+	return &store{revision: 100, objects: make(map[string]map[string]object), changed: make(chan struct{}), away: make(map[int]bool), era: 1}
 }
 
 // setAway turns a machine away, or serves it again.
@@ -64,7 +70,43 @@
 func (s *store) isAway(machine int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.away[machine]
+	return s.away[machine] || s.allAway
+}
+
+// storeCopy is a copy of what the store has.
+type storeCopy struct {
+	revision uint64
+	objects  map[string]map[string]object
+	events   []event
+}
+
+// copied returns a copy of what the store has.
+func (s *store) copied() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	taken := storeCopy{revision: s.revision, objects: make(map[string]map[string]object), events: slices.Clone(s.events)}
+	for kind, objects := range s.objects {
+		taken.objects[kind] = maps.Clone(objects)
+	}
+	return taken
+}
+
+// setAllAway turns all machines away until restore.
+func (s *store) setAllAway() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.allAway = true
+	close(s.changed) // ends the watches
+	s.changed = make(chan struct{})
+}
+
+// restore brings the store back from a copy.
+func (s *store) restore(taken storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.objects, s.events = taken.revision, taken.objects, taken.events
+	s.allAway = false
+	s.era++
 }
 
 // serve serves one machine at the address.
@@ -80,6 +122,7 @@
 
 func (s *store) handle(machine int, w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeAnswerTime)
+	s.setEra(w)
 	if s.isAway(machine) {
 		http.Error(w, "turned away", http.StatusServiceUnavailable)
 		return
@@ -99,6 +142,13 @@
 	}
 }
 
+// setEra sets the header with the era.
+func (s *store) setEra(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	w.Header().Set("Store-Era", strconv.Itoa(s.era))
+}
+
 func answer(w http.ResponseWriter, code int, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(code)
@@ -140,12 +190,17 @@
 				found = append(found, e)
 			}
 		}
-		changed, at, away := s.changed, s.revision, s.away[machine]
+		changed, at, away := s.changed, s.revision, s.away[machine] || s.allAway
+		w.Header().Set("Store-Era", strconv.Itoa(s.era))
 		s.mu.Unlock()
 		if away {
 			http.Error(w, "turned away", http.StatusServiceUnavailable)
 			return
 		}
+		if from > at { // a revision that the store does not have
+			answer(w, http.StatusGone, map[string]string{"error": "gone"})
+			return
+		}
 		if len(found) > 0 || timedOut {
 			answer(w, http.StatusOK, map[string]any{"events": found, "atRev": at})
 			return
