review/6: A node that the store turned away refuses the new version for good

Cause: a version from a peer has to pass a stricter check than one from the store, and the refusal is remembered by version and digest (qhhold), so that the same version from the store is refused as well.

Change: case 6 of the second review.

--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -22,6 +22,7 @@
 
 func main() {
 	cases := map[string]func(root, record string, trouble bool) int{
+		"stale-config":        staleConfig,
 		"forgotten-departure": forgottenDeparture,
 		"restored-departure":  restoredDeparture,
 		"forgotten-crashes":   forgottenCrashes,
