--- a/review/stand-2/departure.go
+++ b/review/stand-2/departure.go
@@ -9,8 +9,10 @@
 const (
 	drainBound  = 2 * time.Second // drainS
 	contactTime = 3 * time.Second // contactS
-	// lateness is how late the check-in arrives.
-	lateness = 2200 * time.Millisecond
+	// lateness is how late the check-in arrives: when all machines are in touch again.
+	lateness = 5200 * time.Millisecond
+	// departureWork is how long a server of these cases works on a request.
+	departureWork = 120 * time.Millisecond
 	// drillTime is how long the store is away in a drill.
 	drillTime = 700 * time.Millisecond
 )
@@ -47,7 +49,9 @@
 		return nil
 	}
 	d := &departureRun{fleet: f, leaving: f.machines[0], ended: make(chan struct{}), sent: make(map[string]result)}
-	f.machines[1].server.work = 60 * time.Millisecond // servers of one service differ in speed
+	for _, m := range f.machines {
+		m.server.work = departureWork
+	}
 	f.store.put("config", "main", firstConfig)
 	for _, m := range f.machines {
 		if err := m.startNode(false); err != nil {
--- a/review/stand-2/server.go
+++ b/review/stand-2/server.go
@@ -33,7 +33,9 @@
 	mu    sync.Mutex
 	seq   int
 	beats bool
-	runs  []run
+	// leaves is set once the server has begun to deregister. All its answers say so.
+	leaves bool
+	runs   []run
 	// crashes counts the crashes. conns has the open connections, and listener accepts more.
 	crashes  int
 	conns    map[net.Conn]bool
@@ -134,6 +136,9 @@
 
 // deregister says that the server leaves, and reports whether that was acknowledged.
 func (s *server) deregister() bool {
+	s.mu.Lock()
+	s.leaves = true
+	s.mu.Unlock()
 	return s.call("deregister", map[string]any{"born": s.born})
 }
 
@@ -148,8 +153,18 @@
 }
 
 func (s *server) handle(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	leaves := s.leaves
+	s.mu.Unlock()
+	if leaves {
+		w.Header().Set("Server-Leaving", "1")
+		w.Header().Set("Connection", "close")
+	}
 	if r.URL.Path == "/healthz" {
 		w.Header().Set("X-Instance-Id", s.id)
+		if leaves {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	id := r.Header.Get("X-Request-Id")
