--- a/qhsite/target.go
+++ b/qhsite/target.go
@@ -52,6 +52,8 @@
 	SayLeaving bool `json:"leaving,omitempty"`
 	// Hang executes the call without end and never responds.
 	Hang bool `json:"hang,omitempty"`
+	// PaddingBytes is added to the size of a response.
+	PaddingBytes qhid.Bytes `json:"size,omitempty"`
 }
 
 // Start starts the target's process. The previous process must have exited.
--- a/qhsite/usage.go
+++ b/qhsite/usage.go
@@ -24,8 +24,11 @@
 type Usage struct {
 	// CPUTime is the CPU time, user and system, since the process started.
 	CPUTime time.Duration
-	// Memory is the current resident memory.
-	Memory qhid.Bytes
+	// Memory is the current resident memory, and PeakMemory the most since the process
+	// started.
+	Memory, PeakMemory qhid.Bytes
+	// OpenFiles is the number of open file descriptors.
+	OpenFiles int
 }
 
 // Usage returns the resource usage of the process. It needs the proc file system.
@@ -45,8 +48,33 @@
 			return Usage{}, err
 		}
 	}
+	peak, err := p.peakMemory()
+	if err != nil {
+		return Usage{}, err
+	}
+	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.PID))
+	if err != nil {
+		return Usage{}, err
+	}
 	return Usage{
-		CPUTime: time.Duration(numbers[statUserTicks]+numbers[statSystemTicks]) * clockTick,
-		Memory:  qhid.Bytes(numbers[statResidentPages] * int64(os.Getpagesize())),
+		CPUTime:    time.Duration(numbers[statUserTicks]+numbers[statSystemTicks]) * clockTick,
+		Memory:     qhid.Bytes(numbers[statResidentPages] * int64(os.Getpagesize())),
+		PeakMemory: peak,
+		OpenFiles:  len(files),
 	}, nil
 }
+
+// peakMemory returns the peak resident memory of the process.
+func (p *Process) peakMemory() (qhid.Bytes, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.PID))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(text), "VmHWM:")
+	value, _, ok := strings.Cut(rest, " kB")
+	if !ok {
+		return 0, fmt.Errorf("/proc/%d/status has no peak resident memory", p.PID)
+	}
+	kilobytes, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+	return qhid.Bytes(kilobytes << 10), err
+}
--- a/qhverdict/main.go
+++ b/qhverdict/main.go
@@ -88,11 +88,21 @@
 // by a fault of its own, without a data race.
 const raceDetectorFails = "quetzalhaven.dev/qhfeed"
 
+// measuresProcesses is the package whose tests measure the memory of other processes. It runs
+// apart from the others, so that they get the processor time to answer.
+const measuresProcesses = "quetzalhaven.dev/qhcrowd"
+
 // testGroups returns the arguments of each run of go test that the packages need on an
 // architecture. Where the race detector may end the test process of a package, its tests run
 // without it too, and twice is that package.
 func testGroups(architecture string, packages []string) (groups [][]string, twice string) {
-	groups = [][]string{append([]string{"-race"}, packages...)}
+	shared := slices.DeleteFunc(slices.Clone(packages), func(name string) bool { return name == measuresProcesses })
+	if len(shared) > 0 {
+		groups = append(groups, append([]string{"-race"}, shared...))
+	}
+	if len(shared) < len(packages) {
+		groups = append(groups, []string{"-race", measuresProcesses})
+	}
 	if architecture == "arm64" && slices.Contains(packages, raceDetectorFails) {
 		return append(groups, []string{raceDetectorFails}), raceDetectorFails
 	}
--- a/qhverdict/results_test.go
+++ b/qhverdict/results_test.go
@@ -74,6 +74,12 @@
 		Expect(groups).To(Equal([][]string{raced}))
 		Expect(twice).To(BeEmpty())
 	})
+	It("runs the package that measures processes apart from the others", func() {
+		groups, _ := testGroups("amd64", append([]string{measuresProcesses}, packages...))
+		Expect(groups).To(Equal([][]string{raced, {"-race", measuresProcesses}}))
+		groups, _ = testGroups("amd64", []string{measuresProcesses})
+		Expect(groups).To(Equal([][]string{{"-race", measuresProcesses}}))
+	})
 	It("runs one package without it too on arm64", func() {
 		groups, twice := testGroups("arm64", packages)
 		Expect(groups).To(Equal([][]string{raced, {raceDetectorFails}}))
