qhmemory, qhproxy: A head is held in memory before it is parsed

Callers saw: a node that ended for lack of memory, or no answer, beside 1,000 clients that send heads of many short lines, with or without their end, or many such requests behind a slow one (97 to 1,618 MB where the VM has 96).

Cause: each limit on a head is a connection's own, and nothing bounds all of them. A line of four bytes takes about 100 once it is parsed, and net/http parses as the bytes arrive: an unfinished head of 60 KB costs 1.2 MB. Ruled out: a smaller limit on lines, which legal heads meet (a head of 16 KB has 4,000), and a limit of the runtime alone, which refuses nobody.

Calls are admitted by what their parsed heads will take; the largest are refused first. requestSplitter gives the server a head once it is complete and admitted, so that a refusal (503, not run, Retry-After, or 431) is written before anything is parsed, and only when the requests before it were answered. It follows bodies in chunks to their end and lines as the server does, where it passed everything through before: requests behind a body in chunks are split too.

--- a/qhdecision/decision.go
+++ b/qhdecision/decision.go
@@ -56,6 +56,7 @@
 	Quarantined         Reason = "quarantined"       // the request crashed the targets that executed it
 	Exposed             Reason = "exposed"           // the call is in the share of the new software version of a roll-out
 	Overloaded          Reason = "overload"          // the node lacks processor time
+	NoMemory            Reason = "memory"            // the node has no memory for the call
 	LinkBusy            Reason = "link-busy"         // the link of the target's VM has no room for the request body in time
 	RateLimited         Reason = "rate-limit"        // the rate limit that the target names allows the call too late
 	Delayed             Reason = "delayed"           // the call was delayed on its way, and its caller may have left; its sender sends it again if not
--- /dev/null
+++ b/qhmemory/suite_test.go
@@ -0,0 +1,11 @@
+package qhmemory
+
+import (
+	"testing"
+
+	"quetzalhaven.dev/qhsuite"
+)
+
+func TestMemory(t *testing.T) {
+	qhsuite.Run(t, "qhmemory")
+}
--- a/qhnode/qhserve/node.go
+++ b/qhnode/qhserve/node.go
@@ -110,6 +110,7 @@
 // Run serves until ctx is done, an operator drains the node or an HTTP server
 // fails, and then shuts the node down. Errors have the kinds of qherr.
 func Run(ctx context.Context, options Options) error {
+	limitRuntimeMemory(options.Settings)
 	node, cleanup, err := New(options)
 	if err != nil {
 		return err
@@ -226,6 +227,7 @@
 		OnNodeVersion:   n.onNodeVersion,
 		LinkSpeed:       n.Settings.Bounds.LinkSpeed,
 		OnTargetLeaving: n.targetLeaving,
+		Memory:          n.newMemoryAccount(),
 	})
 	n.proxy = proxy
 	cleanup.add(stopProxy)
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -89,6 +89,9 @@
 			p.servePipelined(w, pipelined, conn)
 			return
 		}
+		if conn.isLast(r) {
+			w.Header().Set("Connection", "close")
+		}
 	}
 	p.counters.calls.Inc()
 	start := time.Now()
--- a/qhproxy/conn.go
+++ b/qhproxy/conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"time"
 
 	"quetzalhaven.dev/qhgroup"
 )
@@ -61,12 +62,18 @@
 	// concurrent is set while the calls of the following requests may run
 	// concurrently with the current call.
 	concurrent bool
-	// served counts the requests that the server has read. serving is set while
-	// it handles one.
-	served  int
-	serving bool
+	// served counts the requests that the server has read, and finished those that it has
+	// handled. serving is set while it handles one.
+	served, finished int
+	serving          bool
+	// held has what is held in memory for the connection.
+	held heldInput
 	// ending is set once the server is to read no further request.
 	ending bool
+	// room is closed once a full buffer may be read from; nil if no Read waits for that.
+	room chan struct{}
+	// readAborted is set while Read must not wait, because its deadline has passed.
+	readAborted bool
 	// onClose is called when the connection is closed; it may be nil.
 	onClose func()
 }
@@ -74,9 +81,9 @@
 // callerListener accepts connections as *callerConn.
 type callerListener struct {
 	net.Listener
-	group *qhgroup.Group
-	// proxy starts the pipelined calls. If it is nil, no calls are pipelined.
 	proxy *Proxy
+	// callers is set if the connections are those of callers, whose calls may be pipelined.
+	callers bool
 }
 
 // Accept waits for the next connection.
@@ -85,8 +92,9 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{Conn: conn, group: l.group}
-	if l.proxy != nil {
+	c := &callerConn{Conn: conn, group: l.proxy.group}
+	c.held = l.proxy.newHeldInput(conn)
+	if l.callers {
 		c.startCall = func(head []byte) *pipelinedCall { return l.proxy.startPipelinedCall(c, head) }
 		c.onClose = func() { l.proxy.conns.remove(c) }
 		l.proxy.conns.add(c)
@@ -96,7 +104,7 @@
 
 // CallersListener wraps the listener that the CallersServer serves on.
 func (p *Proxy) CallersListener(listener net.Listener) net.Listener {
-	return &callerListener{Listener: listener, group: p.group, proxy: p}
+	return &callerListener{Listener: listener, proxy: p, callers: true}
 }
 
 // connContextKey is the context key of a request's callerConn.
@@ -127,18 +135,19 @@
 func (c *callerConn) Read(p []byte) (int, error) {
 	for {
 		c.mu.Lock()
-		started := c.splitter.started
 		if n := c.readable(); n > 0 {
-			if c.splitter.started > started {
-				c.startedHead = append(c.startedHead[:0], c.splitter.bodylessHead(c.buffered)...)
+			if refusal := c.admit(len(p)); refusal != nil {
+				c.mu.Unlock()
+				return 0, c.refuse(refusal)
 			}
-			n = copy(p, c.buffered[:n])
-			c.buffered = c.buffered[n:]
-			c.splitter.consume(n)
-			c.startReadAhead()
+			n = c.takeBuffered(p[:min(len(p), n)])
 			c.mu.Unlock()
 			return n, nil
 		}
+		if c.headTooLarge() {
+			c.mu.Unlock()
+			return 0, c.refuse(&headRefusal{status: http.StatusRequestHeaderFieldsTooLarge})
+		}
 		if c.readErr != nil {
 			defer c.mu.Unlock()
 			return 0, c.readErr
@@ -147,6 +156,12 @@
 			defer c.mu.Unlock()
 			return 0, io.EOF
 		}
+		if c.isFull() {
+			if err := c.awaitRoom(); err != nil {
+				return 0, err
+			}
+			continue
+		}
 		if c.readDone == nil && len(p) > readBufferSize && c.splitter.remaining >= len(p) {
 			return c.readBody(p)
 		}
@@ -166,10 +181,74 @@
 // handles a request, it gets nothing of the next one, which may be started as a
 // pipelined call. c.mu must be held.
 func (c *callerConn) readable() int {
-	if c.serving && c.splitter.atBoundary() && c.readErr == nil && len(c.buffered) < maxReadAhead {
+	if c.serving && c.splitter.atBoundary() && c.readErr == nil {
 		return 0
 	}
-	return c.splitter.readable(c.buffered, c.readErr != nil)
+	started := c.splitter.started
+	n := c.splitter.readable(c.buffered, c.readErr != nil)
+	if c.splitter.started > started {
+		c.startedHead = append(c.startedHead[:0], c.splitter.bodylessHead(c.buffered)...)
+	}
+	if c.splitter.headSize > 0 {
+		c.held.startHead(c.buffered[:min(c.splitter.headSize, len(c.buffered))])
+		c.splitter.headSize = 0
+	}
+	return n
+}
+
+// takeBuffered moves buffered bytes to p, which is not larger than what is buffered. c.mu must
+// be held.
+func (c *callerConn) takeBuffered(p []byte) int {
+	n := copy(p, c.buffered)
+	c.buffered = c.buffered[n:]
+	if len(c.buffered) == 0 && cap(c.buffered) > cap(c.spare) {
+		c.buffered = nil // a kept connection does not need a large buffer
+	}
+	c.held.setBuffered(cap(c.buffered))
+	c.splitter.consume(n)
+	c.startReadAhead()
+	return n
+}
+
+// isFull reports whether nothing more is read before the current request was handled. c.mu
+// must be held.
+func (c *callerConn) isFull() bool {
+	return c.serving && c.splitter.atBoundary() && len(c.buffered) >= maxReadAhead
+}
+
+// awaitRoom waits until the current request was handled. c.mu must be held; awaitRoom
+// releases it.
+func (c *callerConn) awaitRoom() error {
+	if c.readAborted {
+		defer c.mu.Unlock()
+		return os.ErrDeadlineExceeded
+	}
+	if c.room == nil {
+		c.room = make(chan struct{})
+	}
+	room := c.room
+	c.mu.Unlock()
+	<-room
+	return nil
+}
+
+// wakeReader ends awaitRoom. c.mu must be held.
+func (c *callerConn) wakeReader() {
+	if c.room != nil {
+		close(c.room)
+		c.room = nil
+	}
+}
+
+// SetReadDeadline sets the deadline of Read. One that has passed ends a Read that waits.
+func (c *callerConn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	c.readAborted = !deadline.IsZero() && !deadline.After(time.Now())
+	if c.readAborted {
+		c.wakeReader()
+	}
+	c.mu.Unlock()
+	return c.Conn.SetReadDeadline(deadline)
 }
 
 // readBuffers pools buffers of readBufferSize.
@@ -211,6 +290,7 @@
 	c.readDone = nil
 	close(readDone)
 	c.splitter.consume(n)
+	c.held.receive(n)
 	c.partialHead = nil
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.setReadError(err)
@@ -227,6 +307,9 @@
 	if cap(c.buffered) > cap(c.spare) && cap(c.buffered) <= 2*readBufferSize {
 		c.spare = c.buffered
 	}
+	c.held.receive(len(data))
+	c.held.setBuffered(cap(c.buffered))
+	c.splitter.scanChunks(c.buffered)
 	if inBody := c.splitter.remaining - (len(c.buffered) - len(data)); inBody > 0 {
 		data, c.partialHead = data[min(inBody, len(data)):], nil // a body has no heads
 	}
@@ -335,10 +418,18 @@
 	return bytes.Contains(lower, []byte("\r\ncontent-length:")) && bytes.Contains(lower, []byte("\r\ntransfer-encoding:"))
 }
 
+// isLast reports whether the connection is to be closed after the request of HTTP/1.1, because
+// its end cannot be determined.
+func (c *callerConn) isLast(r *http.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return r.ProtoMajor == 1 && c.splitter.passthrough
+}
+
 // hasAmbiguousLength reports whether any head on the connection had both
 // Content-Length and Transfer-Encoding.
 func (c *callerConn) hasAmbiguousLength() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.ambiguousLength
+	return c.ambiguousLength || c.splitter.ambiguousLength
 }
--- a/qhproxy/conns.go
+++ b/qhproxy/conns.go
@@ -44,7 +44,7 @@
 	defer c.mu.Unlock()
 	c.ending = c.served > 0
 	if c.isEnded() {
-		_ = c.SetReadDeadline(time.Now()) // ends the read that waits for the next request; a broken connection ends by itself
+		_ = c.Conn.SetReadDeadline(time.Now()) // ends the read that waits for the next request; a broken connection ends by itself
 	}
 }
 
--- a/qhproxy/pipeline.go
+++ b/qhproxy/pipeline.go
@@ -16,6 +16,7 @@
 	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmemory"
 )
 
 const (
@@ -37,6 +38,8 @@
 	started       time.Time
 	deadline      time.Time
 	cancel        context.CancelFunc
+	// held is the charge of its head.
+	held *qhmemory.Charge
 	// done is closed once response or failure is set.
 	done     chan struct{}
 	response *targetResponse
@@ -58,6 +61,21 @@
 	if p.shutdown.Load() != nil {
 		return nil // the connection will be closed
 	}
+	held, ok := conn.held.client.Admit(qhmemory.HeadCost(head))
+	if !ok {
+		return nil
+	}
+	pipelined := p.startAdmitted(conn, head)
+	if pipelined == nil {
+		held.Release()
+		return nil
+	}
+	pipelined.held = held
+	return pipelined
+}
+
+// startAdmitted starts the call of a request that there is memory for.
+func (p *Proxy) startAdmitted(conn *callerConn, head []byte) *pipelinedCall {
 	r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
 	if err != nil {
 		return nil // the server will refuse it
@@ -106,6 +124,7 @@
 func (p *Proxy) servePipelined(w http.ResponseWriter, pipelined *pipelinedCall, conn *callerConn) {
 	defer p.callerCalls.done()
 	defer pipelined.cancel()
+	defer pipelined.held.Release()
 	w.Header()[qhheader.RequestID] = []string{string(pipelined.call.id)}
 	controller := http.NewResponseController(w)
 	_ = controller.SetWriteDeadline(laterOf(pipelined.deadline, time.Now()).Add(deadlineMargin)) // without write deadlines, the call's context still bounds it
@@ -128,6 +147,7 @@
 	group.Go(func(context.Context) {
 		<-p.done
 		defer p.call.proxy.callerCalls.done()
+		defer p.held.Release()
 		d := p.call.newDecision()
 		d.Kind, d.Reason, d.Detail = qhdecision.Truncated, qhdecision.CallerGone, "the caller's connection closed before the pipelined response was written"
 		p.call.proxy.recordDecision(d)
@@ -263,12 +283,18 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving = false
+	c.finished++
+	c.held.head.Release()
+	c.wakeReader()
 }
 
 // Close closes the connection and abandons its pipelined calls.
 func (c *callerConn) Close() error {
 	c.mu.Lock()
 	c.abandonPipelined()
+	c.held.close()
+	c.readAborted = true
+	c.wakeReader()
 	c.mu.Unlock()
 	if c.onClose != nil {
 		c.onClose()
--- a/qhproxy/proxy.go
+++ b/qhproxy/proxy.go
@@ -45,6 +45,7 @@
 	"quetzalhaven.dev/qhintake"
 	"quetzalhaven.dev/qhkey"
 	"quetzalhaven.dev/qhmember"
+	"quetzalhaven.dev/qhmemory"
 	"quetzalhaven.dev/qhplatform"
 	"quetzalhaven.dev/qhquota"
 	"quetzalhaven.dev/qhretry"
@@ -101,6 +102,8 @@
 	// LinkSpeed is the network bandwidth of the VM, which bounds the request bodies
 	// that other nodes send at a time; 0 if unknown.
 	LinkSpeed qhid.MegabitsPerSecond
+	// Memory has what is held in memory for the clients of the node; nil if no account is kept.
+	Memory *qhmemory.Account
 	// Random returns a random number in [0, n). nil means math/rand/v2.
 	Random func(n int) int
 }
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -97,7 +97,7 @@
 		endpoint.Stats.Refusals.Add(1)
 	case qhdecision.Delayed: // says nothing about the endpoint
 		endpoint.Stats.Refusals.Add(1)
-	case qhdecision.LinkBusy: // says nothing about calls without a body
+	case qhdecision.LinkBusy, qhdecision.NoMemory: // says nothing about smaller calls
 		endpoint.Stats.Refusals.Add(1)
 	case qhdecision.Superseded, qhdecision.NotExposed:
 		c.observeRefusedVersion(endpoint, f.Reason)
--- a/qhsetting/node.go
+++ b/qhsetting/node.go
@@ -105,8 +105,8 @@
 	// CanaryShare is the part of a service's calls that a new software version may get
 	// before it is judged; 0 if operators order no roll-outs.
 	CanaryShare float64 `json:"canary,omitempty" validate:"min=0,max=1"`
-	// MaxMemory is the memory limit of the process in bytes. It is accepted because
-	// the platform's settings template sets it; the node does not use it.
+	// MaxMemory is the memory limit of the process in bytes. A part of it may be held for
+	// clients.
 	MaxMemory qhid.Bytes `json:"memory,omitempty"`
 	// LinkSpeed is the network bandwidth of the VM in Mbit/s.
 	LinkSpeed qhid.MegabitsPerSecond `json:"link,omitempty"`
