qhconn: A connection is read in frames of at most 16 KB

Clients on HTTP/2 made a node hold 1 MB a connection: net/http takes frames of that size by default and has a buffer for one. A peer that may send such frames has a buffer of 512 KB for each request body of unknown length, too. Ruled out: the windows of flow control, which the frames of this crowd stay within.

The frames that are read are limited to 16 KB, the least that the protocol has, for callers and between nodes. Old and new nodes agree on it when they connect.

--- a/qhconn/nodes.go
+++ b/qhconn/nodes.go
@@ -51,6 +51,9 @@
 	// it is placed elsewhere. It is far above the latency between availability
 	// zones. The attempt goes on for later calls.
 	maxConnectWait = 600 * time.Millisecond
+	// maxFrameSize bounds the frames that are read in bytes. A connection has a buffer for
+	// one, and each request body one on its way to a peer.
+	maxFrameSize = 16 << 10
 	// MaxStreams is the maximum number of concurrent calls on one connection.
 	MaxStreams = 250
 )
@@ -60,6 +63,7 @@
 func HTTP2Config() *http.HTTP2Config {
 	return &http.HTTP2Config{
 		MaxConcurrentStreams:          MaxStreams,
+		MaxReadFrameSize:              maxFrameSize,
 		MaxReceiveBufferPerStream:     streamBufferSize,
 		MaxReceiveBufferPerConnection: connBufferSize,
 		SendPingTimeout:               PingIdleTimeout,
--- a/qhcrowd/memory_test.go
+++ b/qhcrowd/memory_test.go
@@ -117,6 +117,12 @@
 			}))}),
 		Entry("that sends heads of many fields without their end on HTTP/2", SpecTimeout(specTimeout),
 			memoryCase{size: crowdSize, service: atOther, script: text(preface + http2Head(1, "GET", "/pickups/today", distinctFields(1700), endStream))}),
+		Entry("that sends large frames without their end on HTTP/2", SpecTimeout(specTimeout),
+			memoryCase{size: crowdSize, service: atOther, script: text(preface + largeFrame)}),
+		Entry("that sends large frames without their end at the listener of forwarded calls", SpecTimeout(specTimeout), memoryCase{
+			size: crowdSize, service: atOther, script: text(preface + largeFrame),
+			listener: func(n *qhsite.Node) qhid.Address { return n.Settings.Listen.ForwardedCalls },
+		}),
 		Entry("that sends uploads without their end on HTTP/2", SpecTimeout(specTimeout),
 			memoryCase{size: http2CrowdSize, service: atOther, script: text(streams(100, func(stream uint32) string { return http2Upload(stream, 60_000) }))}),
 		Entry("at the listener of operators", SpecTimeout(specTimeout), controlCase(func(n *qhsite.Node) qhid.Address { return n.Settings.Listen.Operators })),
--- a/qhcrowd/requests_test.go
+++ b/qhcrowd/requests_test.go
@@ -49,6 +49,9 @@
 // preface opens an HTTP/2 connection.
 var preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(settingsFrame, 0, 0, "")
 
+// largeFrame is a part of an HTTP/2 frame of 1 MB.
+var largeFrame = frame(dataFrame, 0, 1, strings.Repeat("x", 1<<20))[:200_000]
+
 // frame returns an HTTP/2 frame.
 func frame(kind, flags byte, stream uint32, payload string) string {
 	header := binary.BigEndian.AppendUint32(nil, uint32(len(payload)))[1:]
