qhproxy: Responses that are not read are held within the node's memory

Callers that send many requests behind each other and read nothing made a node hold 16 responses of up to 64 KB for each of 1,000 connections: 474 MB where the VM has 96.

Cause: responses that wait for the one before them are read completely, so that a truncated one breaks no other; only their number and size on a connection are bounded. Ruled out: buffers of the kernel, which are not the process's.

A response of over 4 KB is charged to its connection as pending memory until it was written: what is read of it ahead, or while it is forwarded the buffers on its way. Bytes that the caller takes count as progress, so that among callers that hold the same the one that reads stays.

--- a/qhconn/nodes.go
+++ b/qhconn/nodes.go
@@ -25,11 +25,11 @@
 	// SuspectAfter is how long a connection may receive nothing, not even the
 	// acknowledgement of a ping, before it is suspect, so that new calls use another one.
 	SuspectAfter = PingIdleTimeout + PingTimeout/4
-	// streamBufferSize and connBufferSize are the flow-control windows in bytes.
+	// StreamBufferSize and connBufferSize are the flow-control windows in bytes.
 	// The connection window covers all streams, so that a slow stream does not
 	// stall the others.
-	streamBufferSize = 256 << 10
-	connBufferSize   = MaxStreams * streamBufferSize
+	StreamBufferSize = 256 << 10
+	connBufferSize   = MaxStreams * StreamBufferSize
 	// HTTP2HeaderFactor bounds the ratio of the header size as HTTP/2 counts it
 	// to the size in HTTP/1.1. The shortest field takes 4 bytes in HTTP/1.1 and
 	// counts as 33 in HTTP/2, which adds 32 bytes for each field: a ratio of
@@ -64,7 +64,7 @@
 	return &http.HTTP2Config{
 		MaxConcurrentStreams:          MaxStreams,
 		MaxReadFrameSize:              maxFrameSize,
-		MaxReceiveBufferPerStream:     streamBufferSize,
+		MaxReceiveBufferPerStream:     StreamBufferSize,
 		MaxReceiveBufferPerConnection: connBufferSize,
 		SendPingTimeout:               PingIdleTimeout,
 		PingTimeout:                   PingTimeout,
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -123,7 +123,7 @@
 	}
 	resp, f := c.claimAndSend(ctx)
 	if f == nil && c.mayRunConcurrently() && (resp.ContentLength >= 0 || connOfRequest(r).holdsBack()) {
-		f = resp.bufferBody()
+		f = resp.bufferBody(clientOf(r))
 	}
 	c.writeResult(w, resp, f, start)
 	if c.body.stream != nil {
@@ -156,6 +156,7 @@
 		c.proxy.finishWithFailure(w, f, c.newDecision())
 		return
 	}
+	resp.hold(clientOf(c.request), streamedSize(resp.ContentLength))
 	c.proxy.counters.addedLatency.add(time.Since(start) - resp.responseTime)
 	c.proxy.returns.Served(c.returnKey(), time.Now())
 	decision := c.newDecision()
--- a/qhproxy/conn.go
+++ b/qhproxy/conn.go
@@ -130,6 +130,15 @@
 	return c.Close()
 }
 
+// Write writes p.
+func (c *callerConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if n > 0 {
+		c.held.client.Progress()
+	}
+	return n, err
+}
+
 // Read returns buffered bytes, at most up to the end of one request, and starts
 // reading ahead.
 func (c *callerConn) Read(p []byte) (int, error) {
--- a/qhproxy/pipeline.go
+++ b/qhproxy/pipeline.go
@@ -106,7 +106,7 @@
 		}()
 		pipelined.response, pipelined.failure = c.claimAndSend(ctx)
 		if pipelined.failure == nil {
-			pipelined.failure = pipelined.response.bufferBody()
+			pipelined.failure = pipelined.response.bufferBody(clientOf(r))
 		}
 	})
 	return pipelined
@@ -158,12 +158,13 @@
 	})
 }
 
-// bufferBody reads a small response completely, so that a truncated one does not close the
-// connection on which other responses are pending.
-func (r *targetResponse) bufferBody() *failure {
+// bufferBody reads a small response to a client completely, so that a truncated one does not
+// close the connection on which other responses are pending.
+func (r *targetResponse) bufferBody(client *qhmemory.Client) *failure {
 	if qhid.Bytes(r.ContentLength) > maxBufferedResponse || len(r.Trailer) > 0 {
 		return nil
 	}
+	r.hold(client, bufferedSize(r.ContentLength))
 	data, err := io.ReadAll(io.LimitReader(r.Body, int64(maxBufferedResponse)+1))
 	if err == nil && qhid.Bytes(len(data)) > maxBufferedResponse {
 		r.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(data), r.Body), Closer: r.Body}
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -14,6 +14,7 @@
 	"quetzalhaven.dev/qhguard"
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmemory"
 	"quetzalhaven.dev/qhtransit"
 )
 
@@ -57,8 +58,44 @@
 	onTargetRead func(error)
 	// responseTime is the time until the target's response headers arrived.
 	responseTime time.Duration
+	// held is the charge of what is held of the response; nil before hold.
+	held *qhmemory.Charge
 }
 
+// hold charges the client with the part of the response that is held until the client has
+// read it. release ends that.
+func (r *targetResponse) hold(client *qhmemory.Client, size qhid.Bytes) {
+	if r.held != nil || client == nil || r.ContentLength >= 0 && r.ContentLength <= smallResponse {
+		return
+	}
+	r.held = client.Hold(qhmemory.Response)
+	r.held.Set(size) // a write fails if the client is disconnected for it
+	release := r.release
+	r.release = func() {
+		release()
+		r.held.Release()
+	}
+}
+
+// bufferedSize returns what a response of a length takes that is read completely.
+func bufferedSize(length int64) qhid.Bytes {
+	if length < 0 {
+		return maxBufferedResponse
+	}
+	return qhid.Bytes(length)
+}
+
+// streamedSize returns what a response of a length takes at most while it is forwarded.
+func streamedSize(length int64) qhid.Bytes {
+	if length < 0 || length > qhconn.StreamBufferSize {
+		length = qhconn.StreamBufferSize
+	}
+	return copyBufferSize + qhid.Bytes(length)
+}
+
+// smallResponse is the size of a response up to which its call accounts for it.
+const smallResponse = 4 << 10
+
 // newRequest returns the HTTP request to address. The connection pools send it
 // at most once.
 func (o *outgoingCall) newRequest(ctx context.Context, address qhid.Address) *http.Request {
