qhproxy: Requests on HTTP/2 are held within the node's memory

Callers on HTTP/2 made a node hold 890 MB by 100 requests with 1,000 fields on each of 40 connections, and 230 MB by heads without their end on 1,000, where the VM has 96.

Cause: the server decodes a head as its frames arrive and starts a goroutine for each stream, 250 a connection, with a window of 1 MB for their bodies; none of that was counted. Ruled out: splitting the bytes as on HTTP/1.1, since a byte of a compressed head can stand for any field of the table.

frameScanner follows the frames and charges an incomplete head with what its fields can take at most; a complete one is admitted by the handler. A caller's connection has a window of 64 KB, charged from its preface on, and 100 streams. Clients that were disconnected hold their memory until their handlers end: calls are refused as not run, and bodies are read on, only once they have released it but for a quarter of the limit.

--- a/qhmemory/account.go
+++ b/qhmemory/account.go
@@ -57,6 +57,9 @@
 	// requests that arrive.
 	runningShare = 7.0 / 8
 	settledShare = 3.0 / 4
+	// overfullShare is the part of the limit from which on calls and bodies wait until
+	// disconnected clients have released what they hold.
+	overfullShare = 5.0 / 4
 )
 
 // Limits bounds an Account.
@@ -100,11 +103,14 @@
 	mu      sync.Mutex
 	clients map[*Client]struct{}
 	held    [kindCount]qhid.Bytes
-	// active is what is held for the clients that were not evicted, and running the running
-	// part of all.
-	active, running qhid.Bytes
+	// total is what is held for all clients, active for those that were not evicted, and
+	// running the running part of all.
+	total, active, running qhid.Bytes
 	// ending is the number of clients that were evicted and are not closed yet.
 	ending int
+	// released is closed when memory is released or a client is disconnected; nil if nothing
+	// waits for that.
+	released chan struct{}
 }
 
 // NewAccount returns an account in which nothing is held.
@@ -218,7 +224,7 @@
 	a := c.account
 	a.mu.Lock()
 	room := qhid.Bytes(runningShare*float64(a.limits.Memory)) - a.running
-	if size > room/maxRoomShare {
+	if size > room/maxRoomShare || a.isOverfull() {
 		a.mu.Unlock()
 		return nil, false
 	}
@@ -257,6 +263,11 @@
 	return charge
 }
 
+// isOverfull reports whether disconnected clients still hold too much. a.mu must be held.
+func (a *Account) isOverfull() bool {
+	return a.total > qhid.Bytes(overfullShare*float64(a.limits.Memory))
+}
+
 // makeRoom evicts clients until what is held is within the limit. It returns those that are
 // to be disconnected. a.mu must be held.
 func (a *Account) makeRoom(mayEvict func(*Client) bool) []*Client {
@@ -306,11 +317,20 @@
 // evict marks a client as evicted and returns it. a.mu must be held.
 func (a *Account) evict(c *Client) *Client {
 	c.evicted = true
+	a.wakeWaiting()
 	a.ending++
 	a.active -= c.held
 	return c
 }
 
+// wakeWaiting wakes what waits for memory to be released. a.mu must be held.
+func (a *Account) wakeWaiting() {
+	if a.released != nil {
+		close(a.released)
+		a.released = nil
+	}
+}
+
 // disconnect disconnects evicted clients.
 func (a *Account) disconnect(cause Cause, victims []*Client) {
 	for _, victim := range victims {
--- a/qhmemory/account_test.go
+++ b/qhmemory/account_test.go
@@ -24,6 +24,7 @@
 type peer struct {
 	*Client
 	disconnected int
+	body         *Charge
 }
 
 func newAccount(clients int) *Account {
@@ -36,6 +37,16 @@
 	return p
 }
 
+// releaseDisconnected releases what is held for clients that were disconnected.
+func releaseDisconnected(peers []*peer) {
+	for _, p := range peers {
+		if p.disconnected > 0 {
+			p.body.Release()
+			p.Close()
+		}
+	}
+}
+
 // sum returns what is held of all kinds.
 func sum(account *Account) qhid.Bytes {
 	var all qhid.Bytes
@@ -51,8 +62,10 @@
 		var crowd []*peer
 		for range 1000 {
 			p := open(account)
-			p.Hold(Body).Set(100 << 10)
+			p.body = p.Hold(Body)
 			crowd = append(crowd, p)
+			p.body.Set(100 << 10)
+			releaseDisconnected(crowd)
 		}
 		small := open(account)
 		small.Hold(Input).Set(8 << 10)
@@ -64,7 +77,6 @@
 		for _, p := range crowd {
 			Expect(p.disconnected).To(BeNumerically("<=", 1))
 			kept += 1 - p.disconnected
-			p.Close()
 		}
 		Expect(kept).To(BeNumerically("~", int(testLimit/(116<<10)), 2))
 	})
@@ -110,6 +122,27 @@
 		Expect(running.disconnected).To(BeZero())
 	})
 
+	It("admits no call while disconnected clients hold too much", func() {
+		account := newAccount(0)
+		var crowd []*peer
+		for range 10 {
+			p := open(account)
+			p.body = p.Hold(Body)
+			p.body.Set(testLimit / 6)
+			crowd = append(crowd, p)
+		}
+		_, ok := open(account).Admit(smallCall)
+		Expect(ok).To(BeFalse())
+		waiting := open(account).Hold(Body)
+		done := make(chan bool)
+		go func() { done <- waiting.SetSlowly(smallCall) }() //nolint:gocritic // ends with the test
+		Consistently(done, "100ms").ShouldNot(Receive())
+		releaseDisconnected(crowd)
+		Eventually(done).Should(Receive(BeTrue()))
+		_, ok = open(account).Admit(smallCall)
+		Expect(ok).To(BeTrue())
+	})
+
 	It("makes pending memory a part of a running call up to a share", func() {
 		account := newAccount(0)
 		var bodies []*Charge
@@ -197,7 +230,7 @@
 				}
 				p.Close()
 			}
-			if sum(account) != 0 || account.active != 0 || account.running != 0 || account.Clients() != 0 || account.ending != 0 {
+			if sum(account) != 0 || account.active != 0 || account.running != 0 || account.total != 0 || account.Clients() != 0 || account.ending != 0 {
 				t.Fatalf("after the end, %d bytes are held, %d active, %d running, %d clients", sum(account), account.active, account.running, account.Clients())
 			}
 		})
--- a/qhproxy/body.go
+++ b/qhproxy/body.go
@@ -94,11 +94,11 @@
 		return nil
 	}
 	if b.length < 0 || b.length > maxBufferedRequest {
-		b.held.Set(streamCost)
+		b.held.SetSlowly(streamCost)
 		b.stream = &settlingReader{Reader: r.Body, held: b.held}
 		return nil
 	}
-	b.held.Set(qhid.Bytes(r.ContentLength)) // the read fails if the caller is disconnected for it
+	b.held.SetSlowly(qhid.Bytes(r.ContentLength)) // the read fails if the caller is disconnected for it
 	b.buffer = make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, b.buffer); err != nil {
 		return &bodyError{cause: err}
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -93,6 +93,11 @@
 			w.Header().Set("Connection", "close")
 		}
 	}
+	p.serveCall(w, r)
+}
+
+// serveCall handles a call that was not started as a pipelined call.
+func (p *Proxy) serveCall(w http.ResponseWriter, r *http.Request) {
 	p.counters.calls.Inc()
 	start := time.Now()
 	c := &call{proxy: p, request: r, id: p.requestID(r), sent: trackBody(r)}
@@ -106,6 +111,12 @@
 		p.refuseCaller(w, notExecuted(qhdecision.Busy, http.StatusServiceUnavailable, defaultRetryAfter, "this node has too many calls in flight; use another one"), c)
 		return
 	}
+	held, ok := admitParsed(r)
+	defer held.Release()
+	if !ok {
+		p.refuseCaller(w, noMemoryFailure(), c)
+		return
+	}
 	deadline, f := c.prepare(w)
 	defer c.body.release()
 	if f != nil {
--- a/qhproxy/conn.go
+++ b/qhproxy/conn.go
@@ -209,6 +209,9 @@
 // be held.
 func (c *callerConn) takeBuffered(p []byte) int {
 	n := copy(p, c.buffered)
+	if c.splitter.http2 {
+		c.held.takeFrames(p[:n])
+	}
 	c.buffered = c.buffered[n:]
 	if len(c.buffered) == 0 && cap(c.buffered) > cap(c.spare) {
 		c.buffered = nil // a kept connection does not need a large buffer
--- a/qhproxy/held.go
+++ b/qhproxy/held.go
@@ -43,6 +43,8 @@
 	headID   qhid.Request
 	// head is the charge of the request that the server has read last.
 	head *qhmemory.Charge
+	// frames follows the frames of a connection that speaks HTTP/2; else nil.
+	frames *heldFrames
 }
 
 // newHeldInput opens the account of a connection of a caller.
@@ -59,6 +61,15 @@
 	return nil
 }
 
+// admitParsed reports whether there is memory for a request of HTTP/2, and returns its charge.
+// One of HTTP/1.1 was admitted before it was parsed.
+func admitParsed(r *http.Request) (*qhmemory.Charge, bool) {
+	if r.ProtoMajor == 1 {
+		return nil, true
+	}
+	return clientOf(r).Admit(qhmemory.HeaderCost(r.Header))
+}
+
 // maxCallerHead returns the maximum size of the head of a caller's request.
 func (p *Proxy) maxCallerHead() int {
 	limit := p.Settings.MaxHeaderBytes
@@ -87,6 +98,14 @@
 	}
 }
 
+// takeFrames records that the server reads bytes of a connection that speaks HTTP/2.
+func (h *heldInput) takeFrames(data []byte) {
+	if h.frames == nil {
+		h.frames = newHeldFrames(h.client, int(h.proxy.Settings.MaxHeaderBytes))
+	}
+	h.frames.scan(data)
+}
+
 // startHead records the complete head of a request that waits to be admitted.
 func (h *heldInput) startHead(head []byte) {
 	h.begun++
@@ -110,10 +129,55 @@
 // close ends the account of the connection.
 func (h *heldInput) close() {
 	h.input.Release()
+	h.frames.release()
 	h.head.Release()
 	h.client.Close()
 }
 
+const (
+	// http2Cost is held for a connection that speaks HTTP/2, in addition to what one of
+	// HTTP/1.1 holds: its window and the buffers for a frame and for writing.
+	http2Cost qhid.Bytes = callerWindow + 32<<10
+	// fieldSize is the size of the shortest field of a head as HTTP/2 counts it, and
+	// fieldCost is what it takes once it is decoded.
+	fieldSize            = 33
+	fieldCost qhid.Bytes = 160
+)
+
+// heldFrames has what is held for a connection that speaks HTTP/2: the server decodes heads
+// before they are complete.
+type heldFrames struct {
+	scanner *frameScanner
+	input   *qhmemory.Charge
+	// maxHead is what an incomplete head takes at most.
+	maxHead qhid.Bytes
+	open    int
+}
+
+// newHeldFrames returns the account of a connection whose heads are decoded up to a size, as
+// HTTP/2 counts it.
+func newHeldFrames(client *qhmemory.Client, maxHeaderBytes int) *heldFrames {
+	h := &heldFrames{scanner: newFrameScanner(), input: client.Hold(qhmemory.Input), maxHead: qhid.Bytes(maxHeaderBytes) / fieldSize * fieldCost}
+	h.input.Set(http2Cost)
+	return h
+}
+
+// scan records that the server reads bytes. A byte of a head can stand for a field.
+func (h *heldFrames) scan(data []byte) {
+	open := h.scanner.scan(data)
+	if open != h.open {
+		h.open = open
+		h.input.Set(http2Cost + min(qhid.Bytes(open)*fieldCost, h.maxHead))
+	}
+}
+
+// release ends the account; h may be nil.
+func (h *heldFrames) release() {
+	if h != nil {
+		h.input.Release()
+	}
+}
+
 // headRefusal is the refusal of a request of which the server reads nothing.
 type headRefusal struct {
 	status int
--- a/qhproxy/read_ahead.go
+++ b/qhproxy/read_ahead.go
@@ -58,8 +58,8 @@
 		close(a.arrived)
 		a.arrived = make(chan struct{})
 		a.mu.Unlock()
-		a.held.Set(streamCost + qhid.Bytes(capacity)) // the read fails if the caller is disconnected for it
-		if err == io.EOF {                            //nolint:errorlint // readers return io.EOF itself
+		a.held.SetSlowly(streamCost + qhid.Bytes(capacity)) // the read fails if the caller is disconnected for it
+		if err == io.EOF {                                  //nolint:errorlint // readers return io.EOF itself
 			a.held.Settle() // otherwise it stays pending
 		}
 		if err != nil || size > maxBufferedRequest {
--- a/qhproxy/server.go
+++ b/qhproxy/server.go
@@ -21,6 +21,11 @@
 	// nodes: for the headers that a node adds to a call, and because net/http
 	// accepts somewhat more than MaxHeaderBytes from a caller.
 	internalHeaderBytes = 8 << 10
+	// maxCallerStreams bounds the concurrent requests of a caller's HTTP/2 connection.
+	maxCallerStreams = 100
+	// callerWindow is the flow-control window of a caller's HTTP/2 connection in bytes. The
+	// server holds that much of request bodies before they are read.
+	callerWindow = 64 << 10
 	// nodePingInterval is how long a connection of another node may be idle
 	// before it is pinged, so that the calls of a node that has given the connection up
 	// are cancelled at their targets soon after. The client side pings sooner.
@@ -36,6 +41,9 @@
 	server := p.newServer(p.CallersHandler(), &protocols)
 	server.IdleTimeout = callerIdleTimeout
 	server.ConnContext = withConn
+	server.HTTP2.MaxConcurrentStreams = maxCallerStreams
+	server.HTTP2.MaxReceiveBufferPerConnection = callerWindow
+	server.HTTP2.MaxReceiveBufferPerStream = callerWindow
 	return server
 }
 
