qhproxy: Forwarded calls are held within the node's memory

A crowd of 1,000 connections at the listener of forwarded calls, each with a head of 8,000 fields without its end, made a node hold 844 MB where the VM has 96. What callers send at one node is forwarded calls at another one, which kept no account either.

Cause: the limit on a forwarded head is twelve times that of a caller's, each connection's own, and decoded before it is complete.

Connections of nodes are charged as those of callers on HTTP/2 are, and a forwarded call is admitted by its head; if there is no memory the sender is told that it was not run, and places it elsewhere. A connection that carries calls of many callers is not closed for room while some are running.

--- a/qhmemory/account.go
+++ b/qhmemory/account.go
@@ -149,6 +149,8 @@
 	// all, and pending the part that is pending. calls counts its running calls.
 	held, pending qhid.Bytes
 	calls         int
+	// keepWhileCalling keeps the client while it has running calls, whatever is pending.
+	keepWhileCalling bool
 	// served is set once a call of the client was admitted.
 	served bool
 	// evicted is set once the client was disconnected to make room.
@@ -208,6 +210,17 @@
 	}
 }
 
+// KeepWhileCalling keeps the client from being disconnected while it has running calls. It is
+// for connections that carry the calls of many callers.
+func (c *Client) KeepWhileCalling() {
+	if c == nil {
+		return
+	}
+	c.account.mu.Lock()
+	defer c.account.mu.Unlock()
+	c.keepWhileCalling = true
+}
+
 // Hold returns an empty charge of pending memory.
 func (c *Client) Hold(kind Kind) *Charge {
 	if c == nil {
@@ -286,7 +299,7 @@
 func (a *Account) worst(mayEvict func(*Client) bool) *Client {
 	var worst *Client
 	for c := range a.clients {
-		if c.evicted || c.calls > 0 && c.pending <= connectionCost || !mayEvict(c) {
+		if c.evicted || c.calls > 0 && (c.keepWhileCalling || c.pending <= connectionCost) || !mayEvict(c) {
 			continue
 		}
 		if worst == nil || c.isWorseThan(worst) {
--- a/qhproxy/held.go
+++ b/qhproxy/held.go
@@ -47,9 +47,14 @@
 	frames *heldFrames
 }
 
+// openClient opens the account of a connection.
+func (p *Proxy) openClient(conn net.Conn) *qhmemory.Client {
+	return p.Memory.Open(conn.RemoteAddr().String(), func() { _ = conn.Close() }) // the server sees that it is closed
+}
+
 // newHeldInput opens the account of a connection of a caller.
 func (p *Proxy) newHeldInput(conn net.Conn) heldInput {
-	client := p.Memory.Open(conn.RemoteAddr().String(), func() { _ = conn.Close() }) // the server sees that it is closed
+	client := p.openClient(conn)
 	return heldInput{proxy: p, client: client, maxHead: p.maxCallerHead, input: client.Hold(qhmemory.Input)}
 }
 
--- a/qhproxy/nodes.go
+++ b/qhproxy/nodes.go
@@ -16,6 +16,7 @@
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhhold"
 	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhmemory"
 )
 
 // serveNode handles a call that another node forwards to a target of this VM.
@@ -37,6 +38,12 @@
 		p.finishWithFailure(w, f, d)
 		return
 	}
+	held, ok := nodeConnOf(r).client.Admit(qhmemory.HeaderCost(r.Header))
+	defer held.Release()
+	if !ok {
+		p.finishWithFailure(w, noMemoryFailure(), d)
+		return
+	}
 	remaining, f := p.remainingTime(r, qhdialect.Default().RemainingTime, qhdeadline.Max) // the sending node applied the route's timeout
 	if f == nil && remaining <= arrived.Age {
 		f = lateFailure()
--- a/qhproxy/server.go
+++ b/qhproxy/server.go
@@ -53,12 +53,17 @@
 	protocols.SetUnencryptedHTTP2(true)
 	server := p.newServer(p.NodesHandler(), &protocols)
 	server.IdleTimeout = nodeIdleTimeout
-	server.ConnContext = withTransit
-	server.MaxHeaderBytes = qhconn.HTTP2HeaderFactor * (server.MaxHeaderBytes + internalHeaderBytes)
+	server.ConnContext = withNodeConn
+	server.MaxHeaderBytes = p.maxForwardedHead()
 	server.HTTP2.SendPingTimeout = nodePingInterval
 	return server
 }
 
+// maxForwardedHead returns the maximum size of the head of a forwarded call, as HTTP/2 counts it.
+func (p *Proxy) maxForwardedHead() int {
+	return qhconn.HTTP2HeaderFactor * (int(p.Settings.MaxHeaderBytes) + internalHeaderBytes)
+}
+
 func (p *Proxy) newServer(handler http.Handler, protocols *http.Protocols) *http.Server {
 	return &http.Server{
 		Handler:           handler,
--- a/qhproxy/transit.go
+++ b/qhproxy/transit.go
@@ -16,6 +16,7 @@
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmember"
+	"quetzalhaven.dev/qhmemory"
 	"quetzalhaven.dev/qhtransit"
 )
 
@@ -24,7 +25,10 @@
 const noticedDelay = 500 * time.Millisecond
 
 // nodeListener accepts connections of other nodes as *nodeConn.
-type nodeListener struct{ net.Listener }
+type nodeListener struct {
+	net.Listener
+	proxy *Proxy
+}
 
 // Accept waits for the next connection.
 func (l nodeListener) Accept() (net.Conn, error) {
@@ -32,13 +36,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return &nodeConn{Conn: conn, transit: qhtransit.NewConn(qhclock.Now())}, nil
+	client := l.proxy.openClient(conn)
+	client.KeepWhileCalling()
+	return &nodeConn{
+		Conn: conn, transit: qhtransit.NewConn(qhclock.Now()),
+		client: client, frames: newHeldFrames(client, l.proxy.maxForwardedHead()),
+	}, nil
 }
 
 // nodeConn is a connection of another node.
 type nodeConn struct {
 	net.Conn
 	transit *qhtransit.Conn
+	// client and frames are the account of what is held in memory for the connection.
+	client *qhmemory.Client
+	frames *heldFrames
 }
 
 // Read reads into b and records that bytes were received.
@@ -46,25 +58,39 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.transit.Hear(qhclock.Now())
+		c.client.Progress()
+		c.frames.scan(b[:n])
 	}
 	return n, err
 }
 
+// Close closes the connection.
+func (c *nodeConn) Close() error {
+	c.frames.release()
+	c.client.Close()
+	return c.Conn.Close()
+}
+
 // NodesListener wraps the listener that the NodesServer serves on.
-func (p *Proxy) NodesListener(listener net.Listener) net.Listener { return nodeListener{listener} }
+func (p *Proxy) NodesListener(listener net.Listener) net.Listener {
+	return nodeListener{Listener: listener, proxy: p}
+}
 
-// transitKey is the context key of the *qhtransit.Conn of another node's connection.
-type transitKey struct{}
+// nodeConnKey is the context key of the connection of another node.
+type nodeConnKey struct{}
 
-// withTransit is the ConnContext function of the nodes' server, which serves on a
+// withNodeConn is the ConnContext function of the nodes' server, which serves on a
 // NodesListener.
-func withTransit(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, transitKey{}, conn.(*nodeConn).transit)
+func withNodeConn(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, nodeConnKey{}, conn.(*nodeConn))
 }
 
+// nodeConnOf returns the connection on which another node has sent a call.
+func nodeConnOf(r *http.Request) *nodeConn { return r.Context().Value(nodeConnKey{}).(*nodeConn) }
+
 // arrivalOf returns the arrival of a call of another node that was just received.
 func arrivalOf(r *http.Request) *qhtransit.Arrival {
-	conn := r.Context().Value(transitKey{}).(*qhtransit.Conn)
+	conn := nodeConnOf(r).transit
 	sent, err := strconv.ParseInt(r.Header.Get(qhheader.NodeSent), 10, 64)
 	arrival := conn.Arrive(qhtransit.Stamp{
 		Sent: time.Duration(sent) * time.Millisecond, Known: err == nil, // earlier releases do not set it
