qhserve, qhproxy: Control requests are held within the node's memory

Crowds of 1,000 connections that send heads without their end to the listeners of operators and of targets made a node hold 323 and 318 MB where the VM has 96.

Cause: the heads of 16 KB that these listeners take are parsed as they arrive, like those of callers were.

Their connections, those for health checks and those of peers on the users' platform get the account of callers' connections: a head is given to the server once it is complete and admitted. No calls are pipelined on them. The listener of peers in the distribution tree has messages of another protocol; its specs held before.

--- a/qhnode/qhserve/listen.go
+++ b/qhnode/qhserve/listen.go
@@ -11,6 +11,7 @@
 	"quetzalhaven.dev/qherr"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhoperate"
+	"quetzalhaven.dev/qhproxy"
 	"quetzalhaven.dev/qhsetting"
 )
 
@@ -85,16 +86,23 @@
 	})
 	n.serveOn(n.proxy.CallersListener(open.callers), n.proxy.CallersServer())
 	n.serveOn(n.proxy.NodesListener(open.forwardedCalls), n.proxy.NodesServer())
-	n.serveOn(open.targets, controlServer(n.targetsHandler()))
-	n.serveOn(open.operators, controlServer(operators.Handler()))
+	n.serveControl(open.targets, n.targetsHandler())
+	n.serveControl(open.operators, operators.Handler())
 	if open.ready != nil {
-		n.serveOn(open.ready, controlServer(platform.ReadyHandler(n.Ready)))
+		n.serveControl(open.ready, platform.ReadyHandler(n.Ready))
 	}
 	if n.source.peers != nil {
-		n.serveOn(open.peers, controlServer(n.source.peers))
+		n.serveControl(open.peers, n.source.peers)
 	}
 }
 
+// serveControl serves requests of operators, targets, peers or health checks.
+func (n *Node) serveControl(listener net.Listener, handler http.Handler) {
+	server := controlServer(handler)
+	qhproxy.AccountControl(server)
+	n.serveOn(n.proxy.ControlListener(listener, maxControlHeaderBytes), server)
+}
+
 // controlServer returns a server for requests of operators, targets, peers or
 // health checks, with its limits set.
 func controlServer(handler http.Handler) *http.Server {
--- a/qhproxy/conn.go
+++ b/qhproxy/conn.go
@@ -82,6 +82,8 @@
 type callerListener struct {
 	net.Listener
 	proxy *Proxy
+	// maxHead returns the maximum size of a head.
+	maxHead func() int
 	// callers is set if the connections are those of callers, whose calls may be pipelined.
 	callers bool
 }
@@ -93,7 +95,7 @@
 		return nil, err
 	}
 	c := &callerConn{Conn: conn, group: l.proxy.group}
-	c.held = l.proxy.newHeldInput(conn)
+	c.held = l.proxy.newHeldInput(conn, l.maxHead)
 	if l.callers {
 		c.startCall = func(head []byte) *pipelinedCall { return l.proxy.startPipelinedCall(c, head) }
 		c.onClose = func() { l.proxy.conns.remove(c) }
@@ -104,7 +106,7 @@
 
 // CallersListener wraps the listener that the CallersServer serves on.
 func (p *Proxy) CallersListener(listener net.Listener) net.Listener {
-	return &callerListener{Listener: listener, proxy: p, callers: true}
+	return &callerListener{Listener: listener, proxy: p, maxHead: p.maxCallerHead, callers: true}
 }
 
 // connContextKey is the context key of a request's callerConn.
--- a/qhproxy/held.go
+++ b/qhproxy/held.go
@@ -52,10 +52,10 @@
 	return p.Memory.Open(conn.RemoteAddr().String(), func() { _ = conn.Close() }) // the server sees that it is closed
 }
 
-// newHeldInput opens the account of a connection of a caller.
-func (p *Proxy) newHeldInput(conn net.Conn) heldInput {
+// newHeldInput opens the account of a connection whose heads have a maximum size.
+func (p *Proxy) newHeldInput(conn net.Conn, maxHead func() int) heldInput {
 	client := p.openClient(conn)
-	return heldInput{proxy: p, client: client, maxHead: p.maxCallerHead, input: client.Hold(qhmemory.Input)}
+	return heldInput{proxy: p, client: client, maxHead: maxHead, input: client.Hold(qhmemory.Input)}
 }
 
 // clientOf returns the client of a caller's request; nil if it is not known.
