qhserve: A node keeps open files for others beside a crowd of connections

Beside 600 kept connections of callers, a node that may open 400 files answered nobody else: no ordinary call within 30 s.

Cause: nothing bounds the connections of clients but the open files of the process, so that the node could neither accept another one nor connect to a target. Ruled out: a shorter idle timeout, which callers that keep their connections rely on.

--- a/qhnode/qhserve/memory.go
+++ b/qhnode/qhserve/memory.go
@@ -23,6 +23,9 @@
 	// clientMemoryShare is the part of the memory that may be held for clients. The rest is for
 	// the configuration, other nodes and garbage.
 	clientMemoryShare = 1.0 / 3
+	// clientFilesShare is the part of the open files that may be connections of clients. The rest
+	// is for connections to targets, other nodes and the store, and for files.
+	clientFilesShare = 3.0 / 4
 	// evictionLogInterval and evictionLogBurst bound the log lines on disconnected clients.
 	evictionLogInterval = time.Second
 	evictionLogBurst    = 10
@@ -33,6 +36,15 @@
 	return cmp.Or(settings.Bounds.MaxMemory, defaultMaxMemory)
 }
 
+// maxOpenFiles returns the limit on open files of the process, 0 if it is not known.
+func maxOpenFiles(settings qhsetting.Node) int {
+	ofSystem, ofSettings := openFilesLimit(), settings.Bounds.MaxOpenFiles
+	if ofSystem == 0 || ofSettings == 0 {
+		return max(ofSystem, ofSettings)
+	}
+	return min(ofSystem, ofSettings)
+}
+
 // limitRuntimeMemory makes the runtime collect garbage more often when the process has used a
 // large part of its memory.
 func limitRuntimeMemory(settings qhsetting.Node) {
@@ -41,12 +53,16 @@
 
 // newMemoryAccount returns the account of what is held for clients.
 func (n *Node) newMemoryAccount() *qhmemory.Account {
-	limits := qhmemory.Limits{Memory: qhid.Bytes(clientMemoryShare * float64(maxMemory(n.Settings)))}
+	limits := qhmemory.Limits{
+		Memory:  qhid.Bytes(clientMemoryShare * float64(maxMemory(n.Settings))),
+		Clients: int(clientFilesShare * float64(maxOpenFiles(n.Settings))),
+	}
 	account := qhmemory.NewAccount(limits, n.evictionObserver())
 	for _, kind := range qhmemory.Kinds() {
 		n.metrics.NewGauge(fmt.Sprintf("qh_held_bytes{kind=%q}", kind), func() float64 { return float64(account.Held(kind)) })
 	}
 	n.metrics.NewGauge("qh_held_limit_bytes", func() float64 { return float64(limits.Memory) })
+	n.metrics.NewGauge("qh_clients_limit", func() float64 { return float64(limits.Clients) })
 	n.metrics.NewGauge("qh_clients", func() float64 { return float64(account.Clients()) })
 	return account
 }
--- a/qhsetting/node.go
+++ b/qhsetting/node.go
@@ -108,6 +108,9 @@
 	// MaxMemory is the memory limit of the process in bytes. A part of it may be held for
 	// clients.
 	MaxMemory qhid.Bytes `json:"memory,omitempty"`
+	// MaxOpenFiles is the limit on open files of the process. That of the operating system
+	// holds too. A part of them may be connections of clients.
+	MaxOpenFiles int `json:"files,omitempty" validate:"min=0"`
 	// LinkSpeed is the network bandwidth of the VM in Mbit/s.
 	LinkSpeed qhid.MegabitsPerSecond `json:"link,omitempty"`
 }
