qhdecision: Only the start of long request IDs and details is kept

A caller that names paths of 60 KB without a route makes a node keep and log 60 KB for each of the last 4,096 decisions, a quarter of a gigabyte that no connection has to stay open for. A long request ID does the same on the users' platform, which requires callers' IDs as they are.

Cause: the ring bounds decisions by number, not by size, and the log lines not at all. Looked at for the same: claims, counts of crashing requests and returns are kept by digest, route or service and bounded.

The ring and the log keep 256 bytes of an ID and 512 of a detail; explain finds a long ID by its start. Calls get it whole, as before.

--- a/qhdecision/decision.go
+++ b/qhdecision/decision.go
@@ -3,6 +3,7 @@
 package qhdecision
 
 import (
+	"strings"
 	"time"
 
 	"quetzalhaven.dev/qhid"
@@ -114,3 +115,24 @@
 	// Detail is human-readable, such as the text of an error.
 	Detail string `json:"detail,omitempty"`
 }
+
+const (
+	// maxRequestBytes and maxDetailBytes bound the request IDs and details that are kept and
+	// logged.
+	maxRequestBytes = 256
+	maxDetailBytes  = 512
+)
+
+// Bounded returns the decision with only the start of a long request ID or detail.
+func (d Decision) Bounded() Decision {
+	d.Request, d.Detail = clip(d.Request, maxRequestBytes), clip(d.Detail, maxDetailBytes)
+	return d
+}
+
+// clip returns text, or a copy of its start if it is longer than size bytes.
+func clip[T ~string](text T, size int) T {
+	if len(text) <= size {
+		return text
+	}
+	return T(strings.Clone(string(text[:size]))) + "..."
+}
--- a/qhdecision/ring.go
+++ b/qhdecision/ring.go
@@ -19,8 +19,10 @@
 	return &Ring{slots: make([]atomic.Pointer[Decision], max(size, 1))}
 }
 
-// Add stores d, overwriting the oldest decision if the ring is full.
+// Add stores d, overwriting the oldest decision if the ring is full. It keeps only the start
+// of long texts, which callers choose.
 func (r *Ring) Add(d Decision) {
+	d = d.Bounded()
 	slot := (r.next.Add(1) - 1) % uint64(len(r.slots))
 	r.slots[slot].Store(&d)
 }
@@ -28,6 +30,7 @@
 // Find returns the stored decisions about a request, oldest first.
 func (r *Ring) Find(request qhid.Request) []Decision {
 	var found []Decision
+	request = clip(request, maxRequestBytes)
 	r.each(func(d *Decision) {
 		if d.Request == request {
 			found = append(found, *d)
--- a/qhdecision/ring_test.go
+++ b/qhdecision/ring_test.go
@@ -1,6 +1,8 @@
 package qhdecision
 
 import (
+	"runtime"
+	"strings"
 	"sync"
 	"testing"
 
@@ -31,3 +33,22 @@
 	wg.Wait()
 	g.Expect(ring.Recent(9)).To(HaveLen(3))
 }
+
+func TestRingKeepsTheStartOfLongTexts(t *testing.T) {
+	g := NewWithT(t)
+	ring := NewRing(1000)
+	long := strings.Repeat("x", 60_000)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for i := range 1000 {
+		ring.Add(Decision{Request: qhid.Request(strings.Clone(long)), Detail: strings.Clone(long), Attempt: i})
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	g.Expect(int64(after.HeapAlloc) - int64(before.HeapAlloc)).To(BeNumerically("<", 4<<20))
+	found := ring.Find(qhid.Request(long))
+	g.Expect(found).To(HaveLen(1000))
+	g.Expect(found[0].Detail).To(And(HavePrefix("xxx"), HaveSuffix("...")))
+	g.Expect(ring.Find("x")).To(BeEmpty())
+}
--- a/qhproxy/proxy.go
+++ b/qhproxy/proxy.go
@@ -211,6 +211,7 @@
 // recordDecision adds a decision to the ring and logs it.
 func (p *Proxy) recordDecision(d qhdecision.Decision) {
 	d.Time = time.Now()
+	d = d.Bounded()
 	p.Decisions.Add(d)
 	p.logDecision(&d)
 }
