--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -69,7 +69,7 @@
 		return
 	}
 	r.held = client.Hold(qhmemory.Response)
-	r.held.Set(size) // a write fails if the client is disconnected for it
+	r.held.SetSlowly(size) // a write fails if the client is disconnected for it
 	release := r.release
 	r.release = func() {
 		release()
