qhfeed, qhmember: A member that was heard of too soon after a view becomes visible

A node did not know a target of another node for 30 s and more, until the next change of any entry: two nodes announce their targets within a millisecond, one logs "member updated" for the other, and places no call there.

Cause: Table.Refresh leaves entries to a later call if the last view was built less than twenty times its cost ago. The distribution tree calls it periodically, the feed only with the next change. Ruled out: the store and the watch, since the entry was merged.

Refresh returns after how long the next call is due, and the feed makes it. The new spec, with a clock that makes a view expensive, failed before (20 s without the target) and passes now.

--- a/qhfeed/exchange.go
+++ b/qhfeed/exchange.go
@@ -95,7 +95,7 @@
 	for _, entry := range f.Members.Merge(message.Entries) {
 		f.Log.Info("member updated by peer", zap.String("member", string(entry.Node)), zap.String("state", string(entry.State)))
 	}
-	f.Members.Refresh()
+	f.refreshMembers()
 	if f.rollouts != nil && len(message.Rollouts) > 0 {
 		f.OnRollouts(message.Rollouts, false, false)
 	}
--- a/qhfeed/feed_test.go
+++ b/qhfeed/feed_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,12 +72,18 @@
 
 // startNodeWithOptions is startNode with further options of the feed.
 func startNodeWithOptions(id qhid.Node, store qhplatform.Store, options Options) *testNode {
+	return startNodeWithTable(id, store, options, qhmember.Options{})
+}
+
+// startNodeWithTable is startNodeWithOptions with further options of the member table.
+func startNodeWithTable(id qhid.Node, store qhplatform.Store, options Options, table qhmember.Options) *testNode {
 	server := httptest.NewUnstartedServer(nil)
 	address := qhid.Address(server.Listener.Addr().String())
 	n := &testNode{holder: qhhold.New(qhhold.Options{Node: id})}
-	n.members = qhmember.NewTable(qhmember.Options{Self: qhmember.Entry{
+	table.Self = qhmember.Entry{
 		Node: id, Zone: "kigali-a", PeerAddress: address, CallAddress: address, Incarnation: qhid.Incarnation(time.Now().UnixMilli()), Sequence: 1, State: qhmember.Up,
-	}})
+	}
+	n.members = qhmember.NewTable(table)
 	options.ConfigKey, options.DecodeConfig, options.Store = configKey, decodeStoredConfig, store
 	options.Holder, options.Members, options.Log, options.Metrics = n.holder, n.members, zap.NewNop(), metrics.NewSet()
 	n.feed, n.stop = New(options)
@@ -185,6 +192,19 @@
 		Eventually(b.knownTargets).WithTimeout(eventuallyTimeout).Should(BeEmpty())
 	})
 
+	It("knows the target of a node that it heard of right after its view was built", func() {
+		const viewCost, viewInterval = 100 * time.Millisecond, 50 * time.Millisecond
+		var reads atomic.Int64
+		slowClock := func() time.Time { return time.Now().Add(time.Duration(reads.Add(1)) * viewCost) }
+		write(1)
+		a := startNodeWithTable("a", store, Options{}, qhmember.Options{ViewInterval: viewInterval, Now: slowClock})
+		b := startNode("b", store)
+		Eventually(a.feed.Ready()).WithTimeout(eventuallyTimeout).Should(BeClosed())
+		a.announce("ta")
+		b.announce("tb")
+		Eventually(a.knownTargets).WithTimeout(eventuallyTimeout).Should(ConsistOf(qhid.Target("ta"), qhid.Target("tb")))
+	})
+
 	It("writes its entry again after it was deleted by another writer", func() {
 		write(1)
 		a, b := startNode("a", store), startNode("b", store)
--- a/qhfeed/nodes.go
+++ b/qhfeed/nodes.go
@@ -62,12 +62,27 @@
 		f.removeUnlisted(listed, batch.restored)
 		f.recordUnlistedSelf(listed, batch)
 	}
-	f.Members.Refresh()
+	f.refreshMembers()
 	if now := f.Members.Self(); now.Sequence != self.Sequence || now.Incarnation != self.Incarnation || f.needsWrite(now) || f.needsRemoval(now) {
 		f.wakePublisher()
 	}
 }
 
+// refreshMembers makes merged entries visible, later if the last view is too recent.
+func (f *Feed) refreshMembers() {
+	wait := f.Members.Refresh()
+	if wait == 0 || !f.refreshing.CompareAndSwap(false, true) {
+		return
+	}
+	f.group.Go(func(ctx context.Context) {
+		qhgroup.Sleep(ctx, wait)
+		f.refreshing.Store(false)
+		if ctx.Err() == nil {
+			f.refreshMembers()
+		}
+	})
+}
+
 // removeSucceeded deletes the stored entries of other nodes that have this node's
 // address. They are gone, but probes of them reach this node.
 func (f *Feed) removeSucceeded(entries []qhmember.Entry) {
--- a/qhfeed/qhfeed.go
+++ b/qhfeed/qhfeed.go
@@ -81,6 +81,8 @@
 	peerResponded atomic.Bool
 	// publishWake wakes publish to compare this node's entry with the store.
 	publishWake chan struct{}
+	// refreshing is set while a later call of refreshMembers is due.
+	refreshing atomic.Bool
 
 	mu sync.Mutex
 	// storedRevision is the revision of this node's entry in the store; 0 if it has none.
--- a/qhmember/view.go
+++ b/qhmember/view.go
@@ -21,13 +21,16 @@
 }
 
 // Refresh makes merged entries visible. With a view interval it leaves that to a
-// later call if the last view was built too recently, see viewPauseFactor.
-func (t *Table) Refresh() {
+// later call if the last view was built too recently, see viewPauseFactor. It returns
+// after how long that call is due, 0 if no entry waits for it.
+func (t *Table) Refresh() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.now().Sub(t.viewBuilt) >= t.minViewPause() {
-		t.rebuild()
+	if wait := t.minViewPause() - t.now().Sub(t.viewBuilt); wait > 0 && len(t.pending) > 0 {
+		return wait
 	}
+	t.rebuild()
+	return 0
 }
 
 // viewPauseFactor is the minimum pause between two views, as a multiple of the time
