qhproxy: Refusals for memory, read again

- After a request that net/http answers itself (OPTIONS *), the head that followed had no limit: nothing was answered for 20 s while bytes were kept.
The connection took the earlier request for one that is still handled.
It now tells the two apart by what the server reads.
- Health checks, announcements and messages of peers were refused for what is held for callers, so that a node beside a crowd could be taken out of service by its platform.
Small control requests are admitted in any case; the number of their connections is bounded.

--- a/qhmemory/account.go
+++ b/qhmemory/account.go
@@ -273,6 +273,7 @@
 	charge := &Charge{client: c, kind: Call, isCall: true}
 	charge.add(size)
 	c.calls++
+	c.served = true
 	return charge
 }
 
--- a/qhproxy/conn.go
+++ b/qhproxy/conn.go
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	c := &callerConn{Conn: conn, group: l.proxy.group}
-	c.held = l.proxy.newHeldInput(conn, l.maxHead)
+	c.held = l.newHeldInput(conn)
 	if l.callers {
 		c.startCall = func(head []byte) *pipelinedCall { return l.proxy.startPipelinedCall(c, head) }
 		c.onClose = func() { l.proxy.conns.remove(c) }
@@ -155,7 +155,7 @@
 			c.mu.Unlock()
 			return n, nil
 		}
-		if c.headTooLarge() {
+		if c.headTooLarge(len(p)) {
 			c.mu.Unlock()
 			return 0, c.refuse(&headRefusal{status: http.StatusRequestHeaderFieldsTooLarge})
 		}
--- a/qhproxy/fleet_test.go
+++ b/qhproxy/fleet_test.go
@@ -23,6 +23,7 @@
 	"quetzalhaven.dev/qhhold"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmember"
+	"quetzalhaven.dev/qhmemory"
 	"quetzalhaven.dev/qhplatform"
 	"quetzalhaven.dev/qhroute"
 	"quetzalhaven.dev/qhsetting"
@@ -49,6 +50,8 @@
 	nodes    map[qhid.Node]*node
 	// linkSpeed is that of the nodes started next; 0 if unknown.
 	linkSpeed qhid.MegabitsPerSecond
+	// memory is the account of the nodes started next; nil for none.
+	memory *qhmemory.Account
 }
 
 func newFleet(t testing.TB, routes ...qhconfig.Route) *fleet {
@@ -77,7 +80,7 @@
 	n := &node{guards: guards, decisions: qhdecision.NewRing(f.settings.MaxDecisions), metrics: metrics.NewSet(), zone: zone}
 	proxy, closeProxy := New(Options{
 		Self: id, Zone: zone, Settings: f.settings, Decisions: n.decisions, Log: zap.NewNop(), Metrics: n.metrics, Store: f.store,
-		Snapshot: f.snapshot.Load, View: f.view.Load, LocalGuard: guards.Get, EndTargetCalls: guards.EndCallsBy, LinkSpeed: f.linkSpeed,
+		Snapshot: f.snapshot.Load, View: f.view.Load, LocalGuard: guards.Get, EndTargetCalls: guards.EndCallsBy, LinkSpeed: f.linkSpeed, Memory: f.memory,
 	})
 	n.proxy = proxy
 	n.callers, n.forwardedCalls = startServer(proxy.CallersServer(), proxy.CallersListener), startServer(proxy.NodesServer(), proxy.NodesListener)
--- a/qhproxy/held.go
+++ b/qhproxy/held.go
@@ -21,6 +21,9 @@
 	// connection is not reset before it has read the refusal.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 256 << 10
+	// smallControlCost is more than what the request of a health check, an announcement or a
+	// message of a peer takes.
+	smallControlCost qhid.Bytes = 32 << 10
 )
 
 // heldInput has what is held in memory for a connection, apart from its calls. The
@@ -30,6 +33,9 @@
 	client *qhmemory.Client
 	// maxHead returns the maximum size of a head.
 	maxHead func() int
+	// control is set for requests other than calls. Small ones are not refused for what is held
+	// for callers.
+	control bool
 	// input is the charge of what was received and no call was started for, and inputSize its
 	// size.
 	input     *qhmemory.Charge
@@ -52,10 +58,10 @@
 	return p.Memory.Open(conn.RemoteAddr().String(), func() { _ = conn.Close() }) // the server sees that it is closed
 }
 
-// newHeldInput opens the account of a connection whose heads have a maximum size.
-func (p *Proxy) newHeldInput(conn net.Conn, maxHead func() int) heldInput {
-	client := p.openClient(conn)
-	return heldInput{proxy: p, client: client, maxHead: maxHead, input: client.Hold(qhmemory.Input)}
+// newHeldInput opens the account of a connection that a listener has accepted.
+func (l *callerListener) newHeldInput(conn net.Conn) heldInput {
+	client := l.proxy.openClient(conn)
+	return heldInput{proxy: l.proxy, client: client, maxHead: l.maxHead, control: !l.callers, input: client.Hold(qhmemory.Input)}
 }
 
 // clientOf returns the client of a caller's request; nil if it is not known.
@@ -121,7 +127,7 @@
 // headerValue returns the value of a header in a head; empty if it is missing or too long to
 // be kept.
 func headerValue(head []byte, name string) string {
-	for line := range strings.SplitSeq(string(head), "\r\n") {
+	for line := range strings.SplitSeq(string(head), "\n") {
 		if field, value, ok := strings.Cut(line, ":"); ok && strings.EqualFold(field, name) {
 			if value = textproto.TrimString(value); len(value) <= maxRequestIDLength {
 				return strings.Clone(value)
@@ -212,6 +218,9 @@
 		return &headRefusal{status: http.StatusRequestHeaderFieldsTooLarge}
 	}
 	charge, ok := h.client.Admit(h.headCost)
+	if !ok && h.control && h.headCost <= smallControlCost {
+		charge, ok = h.client.AdmitAlways(h.headCost), true
+	}
 	if !ok {
 		return &headRefusal{status: http.StatusServiceUnavailable, id: h.headID}
 	}
@@ -225,9 +234,13 @@
 	return len(c.pipelined) > 0 && c.pipelined[0].requestNumber <= c.splitter.started
 }
 
-// headTooLarge reports whether the head that arrives is too large. c.mu must be held.
-func (c *callerConn) headTooLarge() bool {
-	return !c.serving && c.splitter.atBoundary() && c.finished >= c.held.begun && c.held.maxHead != nil && len(c.buffered) > c.held.maxHead()
+// headTooLarge reports whether the head that arrives is too large. size is how much the server
+// reads, see admit. c.mu must be held.
+func (c *callerConn) headTooLarge(size int) bool {
+	if c.serving || !c.splitter.atBoundary() || c.held.maxHead == nil || c.finished < c.held.begun && size == 1 {
+		return false
+	}
+	return len(c.buffered) > c.held.maxHead()
 }
 
 // refuse answers the request that the server is about to read, and returns the error with
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -85,12 +85,10 @@
 	return qhid.Bytes(length)
 }
 
-// streamedSize returns what a response of a length takes at most while it is forwarded.
+// streamedSize returns what a response of a length takes while it is forwarded. One of unknown
+// length counts as a small one, since it may be a stream that is read as it comes.
 func streamedSize(length int64) qhid.Bytes {
-	if length < 0 || length > qhconn.StreamBufferSize {
-		length = qhconn.StreamBufferSize
-	}
-	return copyBufferSize + qhid.Bytes(length)
+	return copyBufferSize + min(bufferedSize(length), qhconn.StreamBufferSize)
 }
 
 // smallResponse is the size of a response up to which its call accounts for it.
