qhproxy: A connection that was refused is not read again

Beside 500 clients that send heads that are too large, and come back when they are refused, no ordinary call was answered for 30 s: 503, no memory, also long after the crowd had gone.

Cause, seen in the stacks of such a node: the server reads once more after the refusal of a head. The buffer was gone, the splitter still knew how much of it had been searched, and the read panicked with the connection's lock held. net/http recovers the panic and closes the connection, which waits for that lock for good: 1,767 of them, and what they hold. Ruled out: a crowd that is faster than its release, since the stacks were the same long after it.

After a refusal the connection has no bytes and ends with an error.

--- a/qhcrowd/crowd_test.go
+++ b/qhcrowd/crowd_test.go
@@ -85,6 +85,33 @@
 	return c
 }
 
+// startReturningCrowd starts clients that each send the script, wait until the node closes the
+// connection, and come back, a number of times. The returned function ends them.
+func startReturningCrowd(ctx context.Context, address qhid.Address, size, returns int, script script) func() {
+	ctx, cancel := context.WithCancel(ctx)
+	var clients errgroup.Group
+	for range size {
+		clients.Go(func() error {
+			for range returns {
+				conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", string(address))
+				if err != nil {
+					return nil //nolint:nilerr // the crowd has ended, or the node takes no connection
+				}
+				stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+				script.send(conn)
+				_, _ = io.Copy(io.Discard, conn) // until the node closes it
+				stop()
+				_ = conn.Close()
+			}
+			return nil
+		})
+	}
+	return func() {
+		cancel()
+		_ = clients.Wait() // the clients return no error
+	}
+}
+
 // close closes the connections.
 func (c *crowd) close() {
 	for _, conn := range c.conns {
--- a/qhcrowd/memory_test.go
+++ b/qhcrowd/memory_test.go
@@ -135,6 +135,29 @@
 	)
 })
 
+var _ = Describe("A node beside a crowd that comes back", func() {
+	const returns = 20
+	DescribeTable("stays within its memory and answers others", func(ctx SpecContext, script script) {
+		f := newFleet(ctx, crowdFiles)
+		node := f.target(atOther).Node
+		f.expectOrdinaryCalls(ctx, node, 1)
+		end := startReturningCrowd(ctx, node.Settings.Listen.Callers, crowdSize/2, returns, script)
+		defer end()
+		f.expectOrdinaryCalls(ctx, node, ordinaryCallCount)
+		f.expectWithinLimits()
+		end()
+		f.expectOrdinaryCalls(ctx, node, ordinaryCallCount)
+		f.expectWithinLimits()
+	},
+		Entry("with heads without their end", SpecTimeout(specTimeout), text(lookup+distinctLines(60_000))),
+		Entry("with requests with many short header lines", SpecTimeout(specTimeout), text(lookup+distinctLines(legalHead)+"\r\n")),
+		Entry("with uploads without their last byte", SpecTimeout(specTimeout), text(upload+"Content-Length: 65536\r\n\r\n"+strings.Repeat("x", 65_535))),
+		Entry("with uploads in chunks of one byte", SpecTimeout(specTimeout), text(upload+"Transfer-Encoding: chunked\r\n\r\n"+strings.Repeat(chunk(1), 50_000))),
+		Entry("with heads that are too large", SpecTimeout(specTimeout), endless(lookup, "a:\r\n")),
+		Entry("with uploads on HTTP/2", SpecTimeout(specTimeout), text(streams(10, func(stream uint32) string { return http2Upload(stream, 60_000) }))),
+	)
+})
+
 // controlCase is a crowd that sends heads without their end to a listener for other requests
 // than calls.
 func controlCase(listener func(*qhsite.Node) qhid.Address) memoryCase {
--- a/qhcrowd/suite_test.go
+++ b/qhcrowd/suite_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -154,12 +155,22 @@
 	}
 }
 
-// printLogs prints the end of each node's log if the test has failed.
+// printLogs prints what each node holds for its clients and the end of its log if the test has
+// failed.
 func printLogs(site *qhsite.Site) {
 	if !CurrentSpecReport().Failed() {
 		return
 	}
 	for _, node := range site.Nodes {
+		metrics, err := node.OperatorGet(context.Background(), "/metrics")
+		for line := range strings.Lines(string(metrics)) {
+			if strings.HasPrefix(line, "qh_held") || strings.HasPrefix(line, "qh_clients") {
+				_, _ = fmt.Fprint(GinkgoWriter, line)
+			}
+		}
+		if err != nil {
+			_, _ = fmt.Fprintln(GinkgoWriter, "no metrics of", node.Settings.ID, err)
+		}
 		text, err := os.ReadFile(node.LogPath)
 		Expect(err).NotTo(HaveOccurred())
 		_, _ = fmt.Fprintf(GinkgoWriter, "\n== %s\n%s\n", node.Settings.ID, text[max(0, len(text)-logTailBytes):])
--- a/qhproxy/held.go
+++ b/qhproxy/held.go
@@ -109,6 +109,9 @@
 	}
 }
 
+// growsLarge reports whether the buffer of received bytes is large already.
+func (h *heldInput) growsLarge() bool { return h.inputSize > 0 }
+
 // takeFrames records that the server reads bytes of a connection that speaks HTTP/2.
 func (h *heldInput) takeFrames(data []byte) {
 	if h.frames == nil {
@@ -246,9 +249,11 @@
 // refuse answers the request that the server is about to read, and returns the error with
 // which the server gives the connection up without a response of its own.
 func (c *callerConn) refuse(refusal *headRefusal) error {
+	closed := &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
 	c.mu.Lock()
-	c.buffered = nil
+	c.buffered, c.splitter = nil, requestSplitter{}
 	c.held.setBuffered(0)
+	c.setReadError(closed) // the server may read again
 	c.mu.Unlock()
 	_ = c.SetWriteDeadline(time.Now().Add(lingerTime)) // a client that reads nothing gets no response
 	var err error
@@ -262,7 +267,7 @@
 		_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTime))
 		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes) // what the client still sends does not matter
 	}
-	return &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed}
+	return closed
 }
 
 // headTooLargeResponse is the response of net/http to a head that is too large.
