qhmemory, qhproxy: A crowd that comes back is taken no faster than it is released

A crowd that comes back as soon as it is disconnected takes new memory while its former connections still hold theirs: bodies waited for that only from a quarter above the limit on, heads and new connections not at all, and a streamed body only once its first bytes were read.

Frames of HTTP/2 are no longer searched for heads of HTTP/1.1, which cloned 8 KB each time.

--- a/qhproxy/conn.go
+++ b/qhproxy/conn.go
@@ -88,8 +88,12 @@
 	callers bool
 }
 
-// Accept waits for the next connection.
+// Accept waits for the next connection. It takes those of callers no faster than callers that
+// were disconnected release their memory.
 func (l *callerListener) Accept() (net.Conn, error) {
+	if l.callers {
+		l.proxy.Memory.Await()
+	}
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -177,7 +181,7 @@
 			return c.readBody(p)
 		}
 		if c.readDone == nil {
-			if err := c.fill(); err != nil {
+			if err := c.fill(c.held.growsLarge()); err != nil {
 				return 0, err
 			}
 			continue
@@ -268,12 +272,15 @@
 // readBuffers pools buffers of readBufferSize.
 var readBuffers = sync.Pool{New: func() any { return new([readBufferSize]byte) }} //nolint:gochecknoglobals // a pool
 
-// fill reads from the network into buffered. c.mu must be held; fill releases
-// it.
-func (c *callerConn) fill() error {
+// fill reads from the network into buffered, slowly if others have to release memory first.
+// c.mu must be held; fill releases it.
+func (c *callerConn) fill(slowly bool) error {
 	readDone := make(chan struct{})
 	c.readDone = readDone
 	c.mu.Unlock()
+	if slowly {
+		c.held.input.Await() // the read fails if the client was disconnected
+	}
 	buffer := readBuffers.Get().(*[readBufferSize]byte)
 	defer readBuffers.Put(buffer)
 	n, err := c.Conn.Read(buffer[:])
@@ -363,7 +370,11 @@
 		}
 		readDone := make(chan struct{})
 		c.readDone = readDone
+		slowly := c.held.growsLarge()
 		c.mu.Unlock()
+		if slowly {
+			c.held.input.Await() // the read fails if the client was disconnected
+		}
 		buffer := readBuffers.Get().(*[readBufferSize]byte)
 		n, err := c.Conn.Read(buffer[:])
 		c.mu.Lock()
@@ -404,7 +415,7 @@
 // Transfer-Encoding, which two servers may split into different requests
 // (request smuggling). c.mu must be held.
 func (c *callerConn) checkHeads(received []byte) {
-	if c.ambiguousLength || len(received) == 0 {
+	if c.ambiguousLength || len(received) == 0 || c.splitter.http2 {
 		return
 	}
 	data := received
