Revert "qhmemory, qhproxy: A crowd that comes back is taken no faster than it is released"

A try that failed. Each release of memory woke all that waited, which then held the lock that the others need.

--- a/qhmemory/account.go
+++ b/qhmemory/account.go
@@ -57,8 +57,8 @@
 	// requests that arrive.
 	runningShare = 7.0 / 8
 	settledShare = 3.0 / 4
-	// overfullShare is the part of the limit from which on calls are refused until disconnected
-	// clients have released what they hold.
+	// overfullShare is the part of the limit from which on calls and bodies wait until
+	// disconnected clients have released what they hold.
 	overfullShare = 5.0 / 4
 )
 
@@ -337,6 +337,14 @@
 	return c
 }
 
+// wakeWaiting wakes what waits for memory to be released. a.mu must be held.
+func (a *Account) wakeWaiting() {
+	if a.released != nil {
+		close(a.released)
+		a.released = nil
+	}
+}
+
 // disconnect disconnects evicted clients.
 func (a *Account) disconnect(cause Cause, victims []*Client) {
 	for _, victim := range victims {
--- a/qhmemory/charge.go
+++ b/qhmemory/charge.go
@@ -1,6 +1,13 @@
 package qhmemory
 
-import "quetzalhaven.dev/qhid"
+import (
+	"time"
+
+	"quetzalhaven.dev/qhid"
+)
+
+// maxReleaseWait bounds the wait for the memory of disconnected clients.
+const maxReleaseWait = time.Second
 
 // Charge is what is held for a client for one purpose. Its methods do nothing on nil. It is
 // safe for concurrent use.
@@ -40,23 +47,46 @@
 	return kept
 }
 
-// SetSlowly is like Set, but then waits like Await, so that a crowd takes no memory faster than
-// it is released. It must not be called with a lock that others need to release theirs.
+// SetSlowly is like Set, but returns only once clients that were disconnected have released
+// most of their memory, so that a crowd takes none faster than it is released. It must not be
+// called with a lock that they need for that.
 func (ch *Charge) SetSlowly(size qhid.Bytes) bool {
 	kept := ch.Set(size)
 	if !kept || ch == nil {
 		return kept
 	}
-	return ch.Await()
+	var timeout <-chan time.Time
+	for {
+		released, kept := ch.awaited()
+		if released == nil {
+			return kept
+		}
+		if timeout == nil {
+			timer := time.NewTimer(maxReleaseWait)
+			defer timer.Stop() //nolint:gocritic // at most one timer a call
+			timeout = timer.C
+		}
+		select {
+		case <-released:
+		case <-timeout:
+			return kept
+		}
+	}
 }
 
-// Await waits like Account.Await. It returns false if this client was disconnected.
-func (ch *Charge) Await() bool {
-	if ch == nil {
-		return true
+// awaited returns a channel that is closed when disconnected clients release memory, nil if
+// there is nothing to wait for, and whether the client is connected.
+func (ch *Charge) awaited() (<-chan struct{}, bool) {
+	a := ch.client.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if ch.client.evicted || !a.isOverfull() {
+		return nil, !ch.client.evicted
+	}
+	if a.released == nil {
+		a.released = make(chan struct{})
 	}
-	ch.client.account.await(ch.client)
-	return !ch.client.isEvicted()
+	return a.released, true
 }
 
 // Settle makes pending memory a part of a running call. It returns false if running calls
--- a/qhproxy/body.go
+++ b/qhproxy/body.go
@@ -84,7 +84,6 @@
 		b.length = -1 // trailers require chunked encoding
 	}
 	if r.ContentLength < 0 && len(r.Trailer) == 0 && r.Header.Get("Expect") == "" {
-		b.held.SetSlowly(streamCost)
 		ahead := startReadAhead(b.group, r.Body, b.held)
 		if content, ok := ahead.complete(); ok {
 			b.buffer, b.length = content, int64(len(content))
--- a/qhproxy/conn.go
+++ b/qhproxy/conn.go
@@ -88,12 +88,8 @@
 	callers bool
 }
 
-// Accept waits for the next connection. It takes those of callers no faster than callers that
-// were disconnected release their memory.
+// Accept waits for the next connection.
 func (l *callerListener) Accept() (net.Conn, error) {
-	if l.callers {
-		l.proxy.Memory.Await()
-	}
 	conn, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -181,7 +177,7 @@
 			return c.readBody(p)
 		}
 		if c.readDone == nil {
-			if err := c.fill(c.held.growsLarge()); err != nil {
+			if err := c.fill(); err != nil {
 				return 0, err
 			}
 			continue
@@ -272,15 +268,12 @@
 // readBuffers pools buffers of readBufferSize.
 var readBuffers = sync.Pool{New: func() any { return new([readBufferSize]byte) }} //nolint:gochecknoglobals // a pool
 
-// fill reads from the network into buffered, slowly if others have to release memory first.
-// c.mu must be held; fill releases it.
-func (c *callerConn) fill(slowly bool) error {
+// fill reads from the network into buffered. c.mu must be held; fill releases
+// it.
+func (c *callerConn) fill() error {
 	readDone := make(chan struct{})
 	c.readDone = readDone
 	c.mu.Unlock()
-	if slowly {
-		c.held.input.Await() // the read fails if the client was disconnected
-	}
 	buffer := readBuffers.Get().(*[readBufferSize]byte)
 	defer readBuffers.Put(buffer)
 	n, err := c.Conn.Read(buffer[:])
@@ -370,11 +363,7 @@
 		}
 		readDone := make(chan struct{})
 		c.readDone = readDone
-		slowly := c.held.growsLarge()
 		c.mu.Unlock()
-		if slowly {
-			c.held.input.Await() // the read fails if the client was disconnected
-		}
 		buffer := readBuffers.Get().(*[readBufferSize]byte)
 		n, err := c.Conn.Read(buffer[:])
 		c.mu.Lock()
@@ -415,7 +404,7 @@
 // Transfer-Encoding, which two servers may split into different requests
 // (request smuggling). c.mu must be held.
 func (c *callerConn) checkHeads(received []byte) {
-	if c.ambiguousLength || len(received) == 0 || c.splitter.http2 {
+	if c.ambiguousLength || len(received) == 0 {
 		return
 	}
 	data := received
