--- a/qhproxy/held.go
+++ b/qhproxy/held.go
@@ -109,9 +109,6 @@
 	}
 }
 
-// growsLarge reports whether the buffer of received bytes is large already.
-func (h *heldInput) growsLarge() bool { return h.inputSize > 0 }
-
 // takeFrames records that the server reads bytes of a connection that speaks HTTP/2.
 func (h *heldInput) takeFrames(data []byte) {
 	if h.frames == nil {
