qhstream: A reset is not taken for the end of a response

Cause: the kernel reports a reset to one system call only. If that is the write of the upload, the later reads return what was received before and then a clean end of the stream, which is the end of a body without a length.

Change: qhstream.Conn keeps the first error of a write that came from the kernel, and returns it in place of io.EOF. A write that fails because the peer had ended its stream before gets EPIPE, so that such an answer stays complete. A read that comes to the end of a socket that is closed waits for a write in progress, which may have got the error and not recorded it yet; such a write does not block. On a socket that is only half closed it does not wait. Used wherever responses are read: targets, nodes, the store, peers, the operator API. Outside the connections to targets no response ends with its connection today (HTTP/2, JSON); bodies of callers always have a length or chunks.

--- a/qhconn/conn.go
+++ b/qhconn/conn.go
@@ -15,6 +15,7 @@
 
 	"quetzalhaven.dev/qhclock"
 	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhstream"
 )
 
 // dialTimeout bounds the time to open a connection.
@@ -164,7 +165,7 @@
 	if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{Conn: conn, opened: time.Now(), openedAt: qhclock.Now(), firstRead: make(chan struct{})}
+	tracked := &trackedConn{Conn: qhstream.NewConn(conn), opened: time.Now(), openedAt: qhclock.Now(), firstRead: make(chan struct{})}
 	if holder, ok := ctx.Value(trackedConnKey{}).(**trackedConn); ok {
 		*holder = tracked
 	}
--- a/qhctl/qhask/qhask.go
+++ b/qhctl/qhask/qhask.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -16,6 +17,7 @@
 	"quetzalhaven.dev/qhmember"
 	"quetzalhaven.dev/qhoperate"
 	"quetzalhaven.dev/qhstatus"
+	"quetzalhaven.dev/qhstream"
 )
 
 // maxResponseBytes limits how much of a response is read.
@@ -34,7 +36,7 @@
 		return nil, nil, qherr.New(qherr.BadInput, nil, "write an IP address and a port, such as 10.0.0.4:7105",
 			"%q is not the address of an operator API", string(address))
 	}
-	transport := &http.Transport{DisableCompression: true}
+	transport := &http.Transport{DialContext: qhstream.Dialer((&net.Dialer{}).DialContext), DisableCompression: true}
 	return &Client{address: address, client: &http.Client{Transport: transport}}, transport.CloseIdleConnections, nil
 }
 
--- a/qhfeed/network_test.go
+++ b/qhfeed/network_test.go
@@ -25,6 +25,7 @@
 	"quetzalhaven.dev/qhkey"
 	"quetzalhaven.dev/qhmember"
 	"quetzalhaven.dev/qhplatform"
+	"quetzalhaven.dev/qhstream"
 )
 
 // storeHost is the host of the store on a network.
@@ -286,7 +287,7 @@
 }
 
 // dialFrom returns the dial function of a host.
-func (n *network) dialFrom(host string, timeout time.Duration) dialFunc {
+func (n *network) dialFrom(host string, timeout time.Duration) qhstream.DialFunc {
 	return func(ctx context.Context, _, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
--- a/qhfeed/peer.go
+++ b/qhfeed/peer.go
@@ -11,19 +11,17 @@
 
 	"quetzalhaven.dev/qherr"
 	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhstream"
 )
 
-// dialFunc opens a connection to an address.
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 // NewPeerClient returns a client for requests to other nodes.
 func NewPeerClient() *http.Client {
 	dialer := &net.Dialer{Timeout: exchangeTimeout}
 	return newPeerClient(dialer.DialContext)
 }
 
-func newPeerClient(dial dialFunc) *http.Client {
-	return &http.Client{Transport: &http.Transport{DialContext: dial, IdleConnTimeout: peerIdleTimeout, MaxIdleConnsPerHost: maxPeerConnections}}
+func newPeerClient(dial qhstream.DialFunc) *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: qhstream.Dialer(dial), IdleConnTimeout: peerIdleTimeout, MaxIdleConnsPerHost: maxPeerConnections}}
 }
 
 // Ask sends a request to a handler that Answer answers for on another node. Errors are
--- a/qhplatform/http.go
+++ b/qhplatform/http.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"quetzalhaven.dev/qherr"
+	"quetzalhaven.dev/qhstream"
 )
 
 // Defaults of HTTPOptions.
@@ -136,6 +137,7 @@
 		}}
 		opts.Dial = dialer.DialContext
 	}
+	opts.Dial = qhstream.Dialer(opts.Dial)
 	if opts.Metrics == nil {
 		opts.Metrics = metrics.NewSet()
 	}
