qhresponse, qhconn, qhproxy: A response without a valid status is refused

What callers saw of an endpoint in trouble: with a status of 000 or 099 at the target's own node the end of the connection without an answer, at another node 502 with the text of a reset stream; 600 and 999 as they were sent. An answer of 000 reached no caller. A stack trace went to the log for each, and no decision or metric at the target's node knew of it.

Cause: net/http accepts any three characters that are a number as a status. WriteHeader then panics below 100, and passes on the rest.

Change: a connection to a target checks each head as its bytes arrive, before anything is parsed (qhresponse.HeadChecker): only 200 to 599 is a final response, 1xx other than 101 an interim one, and no byte is a response that no call waits for. What is not valid is the failure that a lost connection is already: 502, may have been executed, repeated only on routes that allow it, counted against the endpoint, and its connection is closed. Nodes of earlier releases understand it. The node that reads such a response counts it (qh_call_invalid_responses_total), the decision of the caller's node names the target too, and the status that another node passes on is checked as well, since that may be an earlier release.

Ruled out: a check of the parsed status alone. It would do for this fault, but what net/http has dropped or joined cannot be seen any more there.

Evidence: qhproxy "because of its status is refused" fails in all of its 8 entries on: 600 and 999 reach the caller; 000 and 099 panic; the others (101, +20, behind an interim response) were refused as another failure and not counted. "a node that does not check it" got 600. All pass now; unusual responses that are valid (599, no reason phrase, interim responses, each way to end a body, HTTP/1.0) reach the caller on both.

--- a/qhconn/conn.go
+++ b/qhconn/conn.go
@@ -15,6 +15,7 @@
 
 	"quetzalhaven.dev/qhclock"
 	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhresponse"
 	"quetzalhaven.dev/qhstream"
 )
 
@@ -63,6 +64,11 @@
 	// beforeWrite is asked before the first write of the current request; nil if
 	// there is nothing to ask, or it was asked.
 	beforeWrite func() error
+	// responses checks what the peer sends; nil on connections to other nodes, whose
+	// HTTP/2 has no such heads.
+	responses *qhresponse.HeadChecker
+	// invalid is the error of the bytes that are not a response; nil if there were none.
+	invalid error
 	// opened is when the connection was opened, and lastRead when bytes were last
 	// received, in nanoseconds since then on the steady clock.
 	opened   time.Time
@@ -110,16 +116,54 @@
 	return c.Conn.Write(b)
 }
 
-// Read reads into b and records the time.
+// Read reads into b and records the time. Bytes that are not a response are an error and
+// are not returned.
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.lastRead.Store(int64(time.Since(c.opened)))
 		c.firstReadOnce.Do(func() { close(c.firstRead) })
+		if invalid := c.checkResponse(b[:n]); invalid != nil {
+			return 0, invalid
+		}
 	}
 	return n, err
 }
 
+// checkResponse returns the error of received bytes that are not a response.
+func (c *trackedConn) checkResponse(data []byte) error {
+	if c.responses == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.invalid == nil {
+		c.invalid = c.responses.Check(data)
+	}
+	return c.invalid
+}
+
+// expectResponse makes the next byte received the first one of a response.
+func (c *trackedConn) expectResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responses.Expect()
+}
+
+// expectNoResponse makes any byte received an error until expectResponse.
+func (c *trackedConn) expectNoResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.responses.ExpectNothing()
+}
+
+// invalidResponse returns the error of received bytes that were not a response, or nil.
+func (c *trackedConn) invalidResponse() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.invalid
+}
+
 // sinceRead returns how long nothing has been received.
 func (c *trackedConn) sinceRead(now time.Time) time.Duration {
 	return now.Sub(c.opened) - time.Duration(c.lastRead.Load())
@@ -152,20 +196,30 @@
 	return c.writesStarted
 }
 
-// trackedConnKey is the context key of a **trackedConn in which dial stores the
-// connection.
+// trackedConnKey is the context key of a **trackedConn in which dialTracked
+// stores the connection.
 type trackedConnKey struct{}
 
-// dial connects and stores the trackedConn in the pointer that the context
-// carries.
-func dial(ctx context.Context, network, address string) (net.Conn, error) {
+// dialTarget connects to a target, which sends responses of HTTP/1.1.
+func dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
+	return dialTracked(ctx, network, address, &qhresponse.HeadChecker{})
+}
+
+// dialNode connects to a node.
+func dialNode(ctx context.Context, network, address string) (net.Conn, error) {
+	return dialTracked(ctx, network, address, nil)
+}
+
+// dialTracked connects and stores the trackedConn in the pointer that the context
+// carries. responses checks what the peer sends and may be nil.
+func dialTracked(ctx context.Context, network, address string, responses *qhresponse.HeadChecker) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	tracked := &trackedConn{Conn: qhstream.NewConn(conn), opened: time.Now(), openedAt: qhclock.Now(), firstRead: make(chan struct{})}
+	tracked := &trackedConn{Conn: qhstream.NewConn(conn), responses: responses, opened: time.Now(), openedAt: qhclock.Now(), firstRead: make(chan struct{})}
 	if holder, ok := ctx.Value(trackedConnKey{}).(**trackedConn); ok {
 		*holder = tracked
 	}
--- a/qhconn/nodes.go
+++ b/qhconn/nodes.go
@@ -113,7 +113,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	group, stop := qhgroup.New(context.Background())
 	pool := &NodePool{group: group, transport: &http.Transport{
-		DialContext:            dial,
+		DialContext:            dialNode,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: HTTP2HeaderFactor * maxResponseHeaderBytes,
 		IdleConnTimeout:        nodeIdleTimeout,
--- a/qhconn/pool.go
+++ b/qhconn/pool.go
@@ -62,7 +62,7 @@
 	return &Pool{
 		address: address,
 		transport: &http.Transport{
-			DialContext:            dial,
+			DialContext:            dialTarget,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			Protocols:              &protocols,
@@ -90,13 +90,15 @@
 }
 
 // RoundTrip sends the request once. A *DialError or *UnprocessedError means that
-// certainly no byte of the request was sent.
+// certainly no byte of the request was sent, a *qhresponse.InvalidError that the target
+// responded with something that is not a response.
 func (p *Pool) RoundTrip(req *http.Request) (*http.Response, error) {
 	c, err := p.acquire(req.Context())
 	if err != nil {
 		return nil, err
 	}
 	c.tracked.setBeforeWrite(req.Context())
+	c.tracked.expectResponse()
 	writesBefore := c.tracked.writeCount()
 	resp, err := c.client.RoundTrip(req)
 	if err == nil {
@@ -104,6 +106,9 @@
 	}
 	sent := c.tracked.blockWrites() != writesBefore
 	p.discard(c, errors.Is(context.Cause(req.Context()), ErrFirstByteTimeout))
+	if invalid := c.tracked.invalidResponse(); invalid != nil {
+		err = invalid
+	}
 	if sent {
 		return nil, err
 	}
@@ -245,6 +250,7 @@
 		p.remove(c)
 		return
 	}
+	c.tracked.expectNoResponse()
 	c.idleSince = time.Now()
 	p.idle = append(p.idle, c)
 	p.wakeWaiters()
--- a/qhproxy/broken_response_test.go
+++ b/qhproxy/broken_response_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -47,6 +48,24 @@
 	return listener
 }
 
+// newResponder returns a target that sends response to each request. Its connections are
+// closed by the node, or after the response if keepOpen is not set. closed counts the closed
+// ones.
+func newResponder(response string, keepOpen bool) (address qhid.Address, closed *atomic.Int64) {
+	GinkgoHelper()
+	closed = new(atomic.Int64)
+	listener := newRawTarget(func(conn *net.TCPConn, reader *bufio.Reader) {
+		_, err := io.WriteString(conn, response)
+		for keepOpen && err == nil {
+			if _, err = http.ReadRequest(reader); err == nil {
+				_, err = io.WriteString(conn, response)
+			}
+		}
+		closed.Add(1)
+	})
+	return qhid.Address(listener.Addr().String()), closed
+}
+
 // uploadPart and uploadParts are the size and the number of the writes of an upload, and
 // uploadInterval is the time between two of them.
 const (
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -164,7 +164,11 @@
 		defer func() { c.proxy.history.RecordDuration(c.route.Name, time.Since(start)) }()
 	}
 	if f != nil {
-		c.proxy.finishWithFailure(w, f, c.newDecision())
+		decision := c.newDecision()
+		if f.ReachedTarget && c.endpoint != nil {
+			decision.Target, decision.Node = c.endpoint.ID, c.endpoint.Node
+		}
+		c.proxy.finishWithFailure(w, f, decision)
 		return
 	}
 	resp.hold(clientOf(c.request), streamedSize(resp.ContentLength))
--- a/qhproxy/metrics.go
+++ b/qhproxy/metrics.go
@@ -52,7 +52,9 @@
 	retries            *metrics.Counter
 	ejections          *metrics.Counter
 	truncatedResponses *metrics.Counter
-	cancelled          *metrics.Counter
+	// invalidResponses counts what targets of this VM sent that is not a response.
+	invalidResponses *metrics.Counter
+	cancelled        *metrics.Counter
 	// failures has one counter of failed calls for each reason and outcome.
 	failures sync.Map // failureKey to *metrics.Counter
 	// addedLatency is the latency that the nodes added to calls.
@@ -77,6 +79,7 @@
 		retries:            set.NewCounter("qh_call_repeats_total"),
 		ejections:          set.NewCounter("qh_call_ejections_total"),
 		truncatedResponses: set.NewCounter("qh_call_broken_total"),
+		invalidResponses:   set.NewCounter("qh_call_invalid_responses_total"),
 		cancelled:          set.NewCounter("qh_call_cut_total"),
 		addedLatency:       newDurations(set, "qh_call_added_seconds"),
 		forwardedAge:       newDurations(set, "qh_forwarded_age_seconds"),
--- a/qhproxy/send.go
+++ b/qhproxy/send.go
@@ -18,6 +18,7 @@
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmember"
+	"quetzalhaven.dev/qhresponse"
 )
 
 // tryEndpoint sends the call to one endpoint and updates the endpoint's
@@ -189,6 +190,10 @@
 	if err != nil {
 		return nil, roundTripFailure(ctx, err)
 	}
+	if err := qhresponse.CheckStatus(resp.StatusCode); err != nil { // of a node that does not check it
+		_ = resp.Body.Close() // the body is not used
+		return nil, outcomeUnknown(qhdecision.ConnectionLost, http.StatusBadGateway, err.Error())
+	}
 	c.proxy.reportNodeVersion(resp.Header, endpoint.Node)
 	if load, err := strconv.Atoi(resp.Header.Get(qhheader.NodeLoad)); err == nil {
 		qhbalance.RecordReportedLoad(endpoint, load, time.Now())
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -15,6 +16,7 @@
 	"quetzalhaven.dev/qhheader"
 	"quetzalhaven.dev/qhid"
 	"quetzalhaven.dev/qhmemory"
+	"quetzalhaven.dev/qhresponse"
 	"quetzalhaven.dev/qhtransit"
 )
 
@@ -178,6 +180,7 @@
 	resp, err := guard.Conns().RoundTrip(out.newRequest(qhconn.WithCheckBeforeWrite(ctx, startCheck(ctx, out, check)), info.Address)) //nolint:bodyclose // forwardResponse closes it
 	stopTimer()
 	if err != nil {
+		p.countInvalidResponse(err)
 		if f = p.startFailure(err, out.arrived); f == nil {
 			f = roundTripFailure(ctx, err)
 		}
@@ -210,6 +213,14 @@
 	return response, nil
 }
 
+// countInvalidResponse counts a failed round trip whose target sent an invalid response.
+func (p *Proxy) countInvalidResponse(err error) {
+	var invalid *qhresponse.InvalidError
+	if errors.As(err, &invalid) {
+		p.counters.invalidResponses.Inc()
+	}
+}
+
 // observeBrokenConnection records what a failed round trip tells of the target.
 func (p *Proxy) observeBrokenConnection(guard *qhguard.Guard, request qhcrash.Fingerprint, f *failure) {
 	switch f.Reason {
