qhresponse, qhconn: A field whose name is not a token makes a response invalid

What callers saw of an endpoint in trouble: a 200 whose body is not the endpoint's, where a blank in the name hides Content-Length or Transfer-Encoding (raw chunks as the body), and a 200 without the line whose name holds a blank, or with a line that begins with one joined to the value before it.

Cause: net/http takes names with blanks as they are, joins lines that begin with a blank to the one before (both not allowed in responses, RFC 9112, 5.1 and 5.2), and ignores a Transfer-Encoding in HTTP/1.0 (faulty framing, 6.1). Control bytes, an empty name and bytes over 127 were refused already.

Change: HeadChecker checks each name in heads, also of interim responses, and refuses a Transfer-Encoding in HTTP/1.0. The names of a trailer come behind the body: there the response ends as a truncated one, and the connection is not used again.

Ruled out: a check of the parsed header. The names that net/http has joined to a value cannot be seen there, and the framing is decided before.

--- a/qhconn/pool.go
+++ b/qhconn/pool.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhresponse"
 )
 
 const (
@@ -51,6 +54,8 @@
 	idleSince time.Time
 	// inUse is set while a request uses the connection.
 	inUse bool
+	// notReusable makes the pool close the connection instead of keeping it idle.
+	notReusable bool
 	// removed is set once the connection was removed from the pool.
 	removed bool
 }
@@ -102,6 +107,9 @@
 	writesBefore := c.tracked.writeCount()
 	resp, err := c.client.RoundTrip(req)
 	if err == nil {
+		if len(resp.TransferEncoding) > 0 {
+			resp.Body = &chunkedBody{ReadCloser: resp.Body, response: resp, invalid: func() { p.discardIdle(c) }}
+		}
 		return resp, nil
 	}
 	sent := c.tracked.blockWrites() != writesBefore
@@ -115,6 +123,27 @@
 	return nil, &UnprocessedError{Cause: err}
 }
 
+// chunkedBody is the body of a response that may end with a trailer.
+type chunkedBody struct {
+	io.ReadCloser
+	response *http.Response
+	// invalid is called if the trailer is not valid.
+	invalid func()
+}
+
+// Read reads into b. If the trailer is not valid, the body ends with a
+// *qhresponse.InvalidError.
+func (b *chunkedBody) Read(data []byte) (int, error) {
+	n, err := b.ReadCloser.Read(data)
+	if err == io.EOF { //nolint:errorlint // bodies return io.EOF itself
+		if invalid := qhresponse.CheckTrailer(b.response.Trailer); invalid != nil {
+			b.invalid()
+			return n, invalid
+		}
+	}
+	return n, err
+}
+
 // acquire returns a connection for one request: the most recently used idle one,
 // or a new one.
 func (p *Pool) acquire(ctx context.Context) (*pooledConn, error) {
@@ -246,7 +275,7 @@
 
 // release returns a connection to the pool. The lock is held.
 func (p *Pool) release(c *pooledConn) {
-	if p.draining || p.open > p.limit {
+	if p.draining || p.open > p.limit || c.notReusable {
 		p.remove(c)
 		return
 	}
@@ -267,6 +296,17 @@
 	}
 }
 
+// discardIdle removes a connection as soon as no request uses it.
+func (p *Pool) discardIdle(c *pooledConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.notReusable = true
+	if i := slices.Index(p.idle, c); i >= 0 {
+		p.idle = slices.Delete(p.idle, i, i+1)
+		p.remove(c)
+	}
+}
+
 // Drain closes idle connections immediately and the others when their request is
 // done.
 func (p *Pool) Drain() {
--- a/qhproxy/invalid_response_test.go
+++ b/qhproxy/invalid_response_test.go
@@ -67,6 +67,36 @@
 		Entry("behind an interim response", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\nok"),
 	)
 
+	DescribeTable("because of its fields is refused, and the call may have been executed", expectRefused,
+		Entry("a blank in a name", "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("a blank behind a name", "HTTP/1.1 200 OK\r\nX-Odd : 1\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("a blank before a name", "HTTP/1.1 200 OK\r\nX-First: 1\r\n X-Odd: 1\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("a tab in a name", "HTTP/1.1 200 OK\r\nX\tOdd: 1\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("a control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("a NUL in a name", "HTTP/1.1 200 OK\r\nX\x00Odd: 1\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("a DEL in a name", "HTTP/1.1 200 OK\r\nX\x7fOdd: 1\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("an empty name", "HTTP/1.1 200 OK\r\n: 1\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("a blank behind Content-Length", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\nConnection: close\r\n\r\nok"),
+		Entry("a blank in Content-Length", "HTTP/1.1 200 OK\r\nContent Length: 1\r\nConnection: close\r\n\r\nok"),
+		Entry("a blank behind Content-Length, beside a valid one", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("a blank behind Transfer-Encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nConnection: close\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+		Entry("a blank in Transfer-Encoding", "HTTP/1.1 200 OK\r\nTransfer Encoding: chunked\r\nConnection: close\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+		Entry("a blank behind Transfer-Encoding, beside a length", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\nContent-Length: 2\r\n\r\nok"),
+		Entry("Transfer-Encoding in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n2\r\nok\r\n0\r\n\r\n"),
+		Entry("an invalid name in an interim response", "HTTP/1.1 103 Early Hints\r\nX Odd: 1\r\n\r\n"+validResponse),
+	)
+
+	It("is incomplete if its trailer is not valid", func() {
+		f := newFleet(GinkgoTB(), newRoute("urns", "/urns", "booking"))
+		nodes := []*node{f.startNode("a", "kigali-a"), f.startNode("b", "kigali-a")}
+		address, closed := newResponder("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX Odd: 1\r\n\r\n", true)
+		f.announceTarget("t1", "booking", "b", 4, address)
+		for i, n := range nodes {
+			Expect(doCall(context.Background(), n, http.MethodPost, "/urns", "call", nil).err).To(HaveOccurred())
+			Eventually(closed.Load).WithTimeout(10 * time.Second).Should(Equal(int64(i + 1)))
+		}
+	})
+
 	It("ejects its endpoint, as a failed connection does", func() {
 		f := newFleet(GinkgoTB(), newRoute("urns", "/urns", "booking"))
 		f.startNode("b", "kigali-a")
@@ -94,7 +124,7 @@
 	It("is repeated at another target on routes that allow it", func() {
 		f := newFleet(GinkgoTB(), newRoute("urns", "/urns", "booking", func(r *qhconfig.Route) { r.Retry = qhconfig.RetrySafe }))
 		n := f.startNode("a", "kigali-a")
-		odd, _ := newResponder("HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", true)
+		odd, _ := newResponder("HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n", true)
 		valid, _ := newResponder(validResponse, true)
 		f.announceTarget("odd", "booking", "a", 4, odd)
 		f.announceTarget("valid", "booking", "a", 4, valid)
@@ -149,6 +179,7 @@
 		Entry("in HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\nok", 200, "ok", false),
 		Entry("behind interim responses", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"+validResponse, 200, "ok", true),
 		Entry("without a body", "HTTP/1.1 204 No Content\r\n\r\n", 204, "", true),
+		Entry("with all bytes of a token in a name", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: 1\r\nContent-Length: 2\r\n\r\nok", 200, "ok", true),
 		Entry("with blanks around a value", "HTTP/1.1 200 OK\r\nContent-Length:  2 \r\n\r\nok", 200, "ok", true),
 		Entry("whose body looks like an invalid head", "HTTP/1.1 200 OK\r\nContent-Length: 28\r\n\r\nHTTP/1.1 000 Odd\r\nA b: c\r\n\r\n", 200, "HTTP/1.1 000 Odd\r\nA b: c\r\n\r\n", true),
 	)
--- a/qhresponse/head.go
+++ b/qhresponse/head.go
@@ -1,5 +1,7 @@
 // Package qhresponse decides whether the bytes that a target sends are a response of HTTP/1.1
-// (RFC 9112). net/http accepts more: any status of three characters that are a number.
+// (RFC 9112). net/http accepts more: any status of three characters that are a number, blanks
+// in the names of fields, also of those that frame the body, and lines that continue the field
+// before them.
 package qhresponse
 
 import (
@@ -32,11 +34,21 @@
 	return nil
 }
 
+// CheckTrailer returns an *InvalidError if the name of a trailer field is not a token.
+func CheckTrailer(trailer http.Header) error {
+	for name := range trailer {
+		if len(name) != tokenLength([]byte(name)) {
+			return invalid("the name of the trailer field %q is not a token", name[:min(len(name), maxKept)])
+		}
+	}
+	return nil
+}
+
 const (
 	// maxStatus is the highest status (RFC 9110, section 15).
 	maxStatus = 599
-	// maxKept is how many bytes of a line are kept. It is more than the longest version
-	// and status.
+	// maxKept is how many bytes of a line are kept. It is more than the longest version,
+	// status and name that a decision depends on.
 	maxKept = 32
 )
 
@@ -49,7 +61,8 @@
 	statusLine
 	// fieldStart is the start of a line after the status line.
 	fieldStart
-	field
+	fieldName
+	fieldValue
 	// lastLine is the empty line at the end of a head, after its carriage return.
 	lastLine
 	// body is all that follows the head of a final response. It is not checked.
@@ -60,12 +73,14 @@
 // keeps no more than maxKept of them. The zero value expects no response.
 type HeadChecker struct {
 	part part
-	// kept is the beginning of the status line.
+	// kept is the beginning of the status line or of the name.
 	kept [maxKept]byte
 	// keptLength is at most maxKept.
 	keptLength int
 	// interim is set in the head of an interim response (1xx), which another one follows.
 	interim bool
+	// legacy is set in a response of HTTP/1.0.
+	legacy bool
 }
 
 // Expect makes the next byte the first one of a response.
@@ -94,8 +109,10 @@
 		return c.checkStatusLine(data)
 	case fieldStart:
 		return c.checkFieldStart(data)
-	case field:
-		return c.skipField(data), nil
+	case fieldName:
+		return c.checkFieldName(data)
+	case fieldValue:
+		return c.skipFieldValue(data), nil
 	case lastLine:
 		if data[0] != '\n' {
 			return 0, invalid("a carriage return without a line feed in the head")
@@ -124,10 +141,11 @@
 	if complete {
 		kept = bytes.TrimSuffix(kept, []byte("\r"))
 	}
-	status, ok := parseStatusLine(string(kept))
+	version, status, ok := parseStatusLine(string(kept))
 	if !ok {
 		return 0, invalid("the status line begins with %q", kept)
 	}
+	c.legacy = version == "HTTP/1.0"
 	c.interim = status < http.StatusOK && status >= http.StatusContinue && status != http.StatusSwitchingProtocols
 	if !c.interim {
 		if err := CheckStatus(status); err != nil {
@@ -135,31 +153,32 @@
 		}
 	}
 	if !complete {
-		c.enter(field) // the rest of the line is the reason phrase
+		c.enter(fieldValue) // the rest of the line is the reason phrase
 		return len(data), nil
 	}
 	c.enter(fieldStart)
 	return len(line) + 1, nil
 }
 
-// parseStatusLine returns the status of a status line, whose reason phrase may be incomplete.
-func parseStatusLine(line string) (status int, ok bool) {
+// parseStatusLine returns the version and the status of a status line, whose reason phrase may
+// be incomplete.
+func parseStatusLine(line string) (version string, status int, ok bool) {
 	version, rest, _ := strings.Cut(line, " ")
 	minor, ok := strings.CutPrefix(version, "HTTP/1.")
 	if !ok || len(minor) != 1 || !isDigit(minor[0]) {
-		return 0, false
+		return "", 0, false
 	}
 	code, _, _ := strings.Cut(strings.TrimLeft(rest, " "), " ")
 	if len(code) != 3 {
-		return 0, false
+		return "", 0, false
 	}
 	for i := range len(code) {
 		if !isDigit(code[i]) {
-			return 0, false
+			return "", 0, false
 		}
 		status = 10*status + int(code[i]-'0')
 	}
-	return status, true
+	return version, status, true
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
@@ -174,13 +193,43 @@
 		c.enter(lastLine)
 		return 1, nil
 	default:
-		c.enter(field)
+		c.enter(fieldName)
 		return 0, nil
 	}
 }
 
-// skipField skips a field up to the end of its line. net/http checks fields.
-func (c *HeadChecker) skipField(data []byte) int {
+// checkFieldName checks a name up to its colon.
+func (c *HeadChecker) checkFieldName(data []byte) (int, error) {
+	n := tokenLength(data)
+	c.keep(data[:n])
+	if n == len(data) {
+		return n, nil
+	}
+	name := c.kept[:c.keptLength]
+	if data[n] != ':' || len(name) == 0 {
+		return 0, invalid("the byte %#02x in the name of a field, after %q", data[n], name)
+	}
+	if c.legacy && strings.EqualFold(string(name), "Transfer-Encoding") { // faulty framing (RFC 9112, section 6.1)
+		return 0, invalid("a Transfer-Encoding in HTTP/1.0")
+	}
+	c.enter(fieldValue)
+	return n + 1, nil
+}
+
+// tokenLength returns how many bytes at the beginning of data may be in a token (RFC 9110,
+// section 5.6.2).
+func tokenLength(data []byte) int {
+	for i, b := range data {
+		isAlphanumeric := 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || isDigit(b)
+		if !isAlphanumeric && strings.IndexByte("!#$%&'*+-.^_`|~", b) < 0 {
+			return i
+		}
+	}
+	return len(data)
+}
+
+// skipFieldValue skips a value up to the end of its line. net/http checks values.
+func (c *HeadChecker) skipFieldValue(data []byte) int {
 	end := bytes.IndexByte(data, '\n')
 	if end < 0 {
 		return len(data)
--- a/qhresponse/head_test.go
+++ b/qhresponse/head_test.go
@@ -75,6 +75,23 @@
 		Entry("of another protocol", "SSH-2.0-OpenSSH_9.9 and more than is kept of a line\r\n"),
 		Entry("that begins with an empty line", "\r\nHTTP/1.1 200 OK\r\n\r\n"),
 		Entry("behind an interim response", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 Odd\r\n\r\n"),
+		Entry("with a blank in a name", "HTTP/1.1 200 OK\r\nX Odd: 1\r\n\r\n"),
+		Entry("with a blank behind a name", "HTTP/1.1 200 OK\r\nX-Odd : 1\r\n\r\n"),
+		Entry("with a blank before a name", "HTTP/1.1 200 OK\r\nX-First: 1\r\n X-Odd: 1\r\n\r\n"),
+		Entry("with a tab before a name", "HTTP/1.1 200 OK\r\nX-First: 1\r\n\tX-Odd: 1\r\n\r\n"),
+		Entry("with a blank before the first name", "HTTP/1.1 200 OK\r\n X-Odd: 1\r\n\r\n"),
+		Entry("with a line of blanks", "HTTP/1.1 200 OK\r\nX-First: 1\r\n  \r\n\r\n"),
+		Entry("with a control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\n\r\n"),
+		Entry("with a NUL in a name", "HTTP/1.1 200 OK\r\nX\x00Odd: 1\r\n\r\n"),
+		Entry("with a DEL in a name", "HTTP/1.1 200 OK\r\nX\x7fOdd: 1\r\n\r\n"),
+		Entry("with a tab in a name", "HTTP/1.1 200 OK\r\nX\tOdd: 1\r\n\r\n"),
+		Entry("with a byte over 127 in a name", "HTTP/1.1 200 OK\r\nX\xe9: 1\r\n\r\n"),
+		Entry("with an empty name", "HTTP/1.1 200 OK\r\n: 1\r\n\r\n"),
+		Entry("with a line without a colon", "HTTP/1.1 200 OK\r\nX-Odd\r\n\r\n"),
+		Entry("with a carriage return in a line", "HTTP/1.1 200 OK\r\n\rX-Odd: 1\r\n\r\n"),
+		Entry("with a blank behind Content-Length", "HTTP/1.1 200 OK\r\nContent-Length : 1\r\n\r\nok"),
+		Entry("with a blank behind Transfer-Encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n"),
+		Entry("with chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n"),
 	)
 
 	It("belongs to a call", func() {
@@ -102,10 +119,17 @@
 	})
 
 	It("names the invalid bytes, of which it keeps few", func() {
-		err := checkParts(strings.Repeat("x", 1<<16))
+		err := checkParts("HTTP/1.1 200 OK\r\n" + strings.Repeat("x", 1<<16) + " : 1\r\n\r\n")
 		var invalidErr *InvalidError
 		Expect(err).To(BeAssignableToTypeOf(invalidErr))
-		Expect(err.Error()).To(Equal("the bytes received are not a valid response: the status line begins with \"" + strings.Repeat("x", maxKept) + "\"; check the target"))
+		Expect(err.Error()).To(Equal("the bytes received are not a valid response: the byte 0x20 in the name of a field, after \"" + strings.Repeat("x", maxKept) + "\"; check the target"))
+	})
+})
+
+var _ = Describe("a trailer", func() {
+	It("is valid if its names are tokens", func() {
+		Expect(CheckTrailer(http.Header{"X-Sum": {"1"}})).To(Succeed())
+		Expect(CheckTrailer(http.Header{"X Sum": {"1"}})).NotTo(Succeed())
 	})
 })
 
