qhproxy: A truncated response is no complete one to callers of HTTP/1.0

What callers saw: the same part of an answer as a complete 200, if they call in HTTP/1.0 and the target's response of unknown length breaks off.

Cause: without a length, the end of the connection is that of a response in HTTP/1.0. The server closes the connection of an aborted response, and the caller gets an orderly end of the stream.

Change: such a connection is reset. HTTP/1.1 and HTTP/2 tell the end of a body by themselves and are closed as before.

Evidence: "gets no complete response if the target's lacks chunks" fails on (200, "part", no error) and passes now; "lacks bytes" and the three complete responses pass on both.

Open, and not to be told by the caller: the end of a process that is killed while it writes such a response is an orderly end of the stream too.

--- a/qhproxy/broken_response_test.go
+++ b/qhproxy/broken_response_test.go
@@ -194,3 +194,60 @@
 		Entry("in chunks, then resets the connection", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nbb8\r\n"+part+"\r\n0\r\n\r\n", part, resetLater),
 	)
 })
+
+// callInHTTP10 makes a call in HTTP/1.0. An error means that the response is not complete.
+func callInHTTP10(n *node) (status int, body string, err error) {
+	conn, err := net.Dial("tcp", n.callers.Listener.Addr().String())
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	if _, err := io.WriteString(conn, "GET /urns HTTP/1.0\r\nHost: h\r\n\r\n"); err != nil {
+		return 0, "", err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, "", err
+	}
+	content, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(content), err
+}
+
+var _ = Describe("a caller of HTTP/1.0, whose responses end with their connection", func() {
+	// newNodes returns nodes, one of them with a target that closes the connection after
+	// response.
+	newNodes := func(response string) []*node {
+		GinkgoHelper()
+		f := newFleet(GinkgoTB(), newRoute("urns", "/urns", "booking"))
+		nodes := []*node{f.startNode("a", "kigali-a"), f.startNode("b", "kigali-a")}
+		address, _ := newResponder(response, false)
+		f.announceTarget("t1", "booking", "b", 4, address)
+		return nodes
+	}
+
+	DescribeTable("gets no complete response if the target's", func(response string) {
+		for _, n := range newNodes(response) {
+			status, body, err := callInHTTP10(n)
+			if status != http.StatusBadGateway { // of a node that knew it before it sent a byte
+				Expect(err).To(HaveOccurred(), body)
+			}
+		}
+	},
+		Entry("lacks chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"),
+		Entry("lacks bytes", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"),
+	)
+
+	DescribeTable("gets a complete response if the target's is complete", func(response string) {
+		for _, n := range newNodes(response) {
+			status, body, err := callInHTTP10(n)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(status).To(Equal(http.StatusOK))
+			Expect(body).To(Equal("all"))
+		}
+	},
+		Entry("with a length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nall"),
+		Entry("in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nall\r\n0\r\n\r\n"),
+		Entry("without a length", "HTTP/1.1 200 OK\r\n\r\nall"),
+	)
+})
--- a/qhproxy/callers.go
+++ b/qhproxy/callers.go
@@ -171,6 +171,9 @@
 		c.proxy.finishWithFailure(w, f, decision)
 		return
 	}
+	if conn := connOfRequest(c.request); conn != nil && !c.request.ProtoAtLeast(1, 1) {
+		resp.onAborted = conn.resetOnClose
+	}
 	resp.hold(clientOf(c.request), streamedSize(resp.ContentLength))
 	c.proxy.counters.addedLatency.add(time.Since(start) - resp.responseTime)
 	c.proxy.returns.Served(c.returnKey(), time.Now())
--- a/qhproxy/conn.go
+++ b/qhproxy/conn.go
@@ -132,6 +132,15 @@
 	return c.Close()
 }
 
+// resetOnClose makes Close reset the connection. In HTTP/1.0 the end of the connection is that
+// of a response without a length, so that the caller takes a truncated one for complete
+// otherwise.
+func (c *callerConn) resetOnClose() {
+	if conn, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = conn.SetLinger(0) // fails only if the connection is closed already
+	}
+}
+
 // Write writes p.
 func (c *callerConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
--- a/qhproxy/response.go
+++ b/qhproxy/response.go
@@ -39,6 +39,9 @@
 	w.WriteHeader(resp.StatusCode)
 	if err := p.copyBody(w, resp); err != nil {
 		p.recordTruncatedResponse(resp, d, err)
+		if resp.onAborted != nil {
+			resp.onAborted()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	resp.targetRead(nil)
--- a/qhproxy/target.go
+++ b/qhproxy/target.go
@@ -58,6 +58,9 @@
 	// onTargetRead is called with nil once the whole body was read from the target, or
 	// with the error of reading it. It may be nil.
 	onTargetRead func(error)
+	// onAborted is called before the connection to the caller is closed because the response
+	// is truncated. It may be nil.
+	onAborted func()
 	// responseTime is the time until the target's response headers arrived.
 	responseTime time.Duration
 	// held is the charge of what is held of the response; nil before hold.
