qhforward: A reset is forwarded as a reset

A test through it could not see a response that breaks off.

Change: both ends are qhstream.Conn, and a connection that fails resets the other one. The end of a stream is forwarded as before.

--- a/qhforward/connpair.go
+++ b/qhforward/connpair.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
+
+	"quetzalhaven.dev/qhstream"
 )
 
 // bufferSize is the size of the read buffer in bytes.
@@ -12,7 +16,7 @@
 
 // connPair is a client connection and the corresponding connection to the target.
 type connPair struct {
-	client, target net.Conn
+	client, target *qhstream.Conn
 	blackholed     atomic.Bool
 	// endedDirections counts the directions that reached the end of the stream or
 	// failed.
@@ -31,6 +35,23 @@
 	})
 }
 
+// reset closes the pair like close, but the peers see that their connections were reset.
+func (p *connPair) reset() {
+	p.closeOnce.Do(func() {
+		close(p.closed)
+		resetConn(p.client)
+		resetConn(p.target)
+	})
+}
+
+// resetConn closes the connection with a reset.
+func resetConn(conn *qhstream.Conn) {
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // directionEnded counts an ended direction, and closes the pair after both.
 func (p *connPair) directionEnded() {
 	const bothDirections = 2
@@ -40,8 +61,8 @@
 }
 
 // copyBytes copies bytes in one direction until the sender closes, the pair is
-// closed or ctx is done.
-func (f *Forwarder) copyBytes(ctx context.Context, pair *connPair, to, from net.Conn) {
+// closed or ctx is done. If one of the connections fails, both are reset.
+func (f *Forwarder) copyBytes(ctx context.Context, pair *connPair, to, from *qhstream.Conn) {
 	defer pair.directionEnded()
 	buf := make([]byte, bufferSize)
 	for {
@@ -57,14 +78,18 @@
 			continue
 		}
 		if _, err := to.Write(buf[:size]); err != nil {
-			pair.close()
+			pair.reset()
 			return
 		}
 		f.bytes.Add(int64(size))
-		if readErr != nil {
+		if errors.Is(readErr, io.EOF) {
 			closeWrite(to)
 			return
 		}
+		if readErr != nil {
+			pair.reset()
+			return
+		}
 	}
 }
 
@@ -92,8 +117,8 @@
 }
 
 // closeWrite signals the end of the stream to the peer.
-func closeWrite(conn net.Conn) {
-	if tcp, ok := conn.(*net.TCPConn); ok {
+func closeWrite(conn *qhstream.Conn) {
+	if tcp, ok := conn.Conn.(*net.TCPConn); ok {
 		_ = tcp.CloseWrite()
 	}
 }
--- a/qhforward/forwarder.go
+++ b/qhforward/forwarder.go
@@ -11,6 +11,7 @@
 
 	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhstream"
 )
 
 // dialTimeout bounds the time to connect to the target.
@@ -133,14 +134,14 @@
 		_ = conn.Close()
 		return
 	}
-	pair := &connPair{client: conn, target: target, closed: make(chan struct{})}
+	pair := &connPair{client: qhstream.NewConn(conn), target: qhstream.NewConn(target), closed: make(chan struct{})}
 	if !f.add(pair) {
 		pair.close()
 		return
 	}
 	group, wait := qhgroup.New(ctx)
-	group.Go(func(ctx context.Context) { f.copyBytes(ctx, pair, target, conn) })
-	f.copyBytes(ctx, pair, conn, target)
+	group.Go(func(ctx context.Context) { f.copyBytes(ctx, pair, pair.target, pair.client) })
+	f.copyBytes(ctx, pair, pair.client, pair.target)
 	pair.waitClosed(ctx)
 	pair.close()
 	wait()
--- a/qhforward/forwarder_test.go
+++ b/qhforward/forwarder_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -15,6 +16,7 @@
 	"quetzalhaven.dev/qhforward"
 	"quetzalhaven.dev/qhgroup"
 	"quetzalhaven.dev/qhid"
+	"quetzalhaven.dev/qhstream"
 )
 
 // eventTimeout bounds the wait for an expected event.
@@ -74,6 +76,35 @@
 		Expect(forwarder.Bytes()).To(Equal(qhid.Bytes(6)))
 	})
 
+	It("forwards a reset while bytes are sent the other way", func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		group, stop := qhgroup.New(context.Background())
+		DeferCleanup(stop)
+		DeferCleanup(listener.Close)
+		group.Go(func(context.Context) { respondAndReset(listener) })
+		forwarder, closeForwarder, err := qhforward.New(context.Background(), qhid.Address(listener.Addr().String()))
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(closeForwarder)
+		for range 50 {
+			plain, err := net.Dial("tcp", string(forwarder.Address()))
+			Expect(err).NotTo(HaveOccurred())
+			conn := qhstream.NewConn(plain)
+			Expect(conn.SetDeadline(time.Now().Add(eventTimeout))).To(Succeed())
+			var sending sync.WaitGroup
+			sending.Go(func() {
+				var err error
+				for i := 0; i < 100 && err == nil; i++ {
+					_, err = conn.Write(make([]byte, 16<<10))
+				}
+			})
+			_, err = io.ReadAll(conn)
+			_ = conn.Close()
+			sending.Wait()
+			Expect(err).To(HaveOccurred())
+		}
+	})
+
 	It("forwards nothing while paused", func() {
 		conn := dial()
 		forwarder.Pause()
@@ -125,3 +156,17 @@
 		})
 	}
 }
+
+// respondAndReset accepts connections, reads a byte of each, responds and resets it.
+func respondAndReset(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 1))
+		_, _ = io.WriteString(conn, "oak")
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}
+}
