qhproxy: A target of the tests says that it closes its connection

Cause: the target of the test closed its connection after a response that has an end of its own, without saying so. The node of the second call may take that connection before it sees the end.

--- a/qhproxy/broken_response_test.go
+++ b/qhproxy/broken_response_test.go
@@ -49,7 +49,8 @@
 }
 
 // newResponder returns a target that sends response to each request. Its connections are
-// closed by the node, or after the response if keepOpen is not set. closed counts the closed
+// closed by the node, or after the response if keepOpen is not set; a response with an end of
+// its own has to say so then (Connection: close). closed counts the closed
 // ones.
 func newResponder(response string, keepOpen bool) (address qhid.Address, closed *atomic.Int64) {
 	GinkgoHelper()
@@ -242,12 +243,12 @@
 		for _, n := range newNodes(response) {
 			status, body, err := callInHTTP10(n)
 			Expect(err).NotTo(HaveOccurred())
-			Expect(status).To(Equal(http.StatusOK))
+			Expect(status).To(Equal(http.StatusOK), body)
 			Expect(body).To(Equal("all"))
 		}
 	},
-		Entry("with a length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nall"),
-		Entry("in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nall\r\n0\r\n\r\n"),
+		Entry("with a length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nConnection: close\r\n\r\nall"),
+		Entry("in chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n3\r\nall\r\n0\r\n\r\n"),
 		Entry("without a length", "HTTP/1.1 200 OK\r\n\r\nall"),
 	)
 })
